--- /dev/null
+++ b/include/trefoilstile/base/ip.hpp
@@ -0,0 +1,46 @@
+// IP addresses and blocks. IPv4 is held as IPv4-mapped IPv6, so that one table serves both.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace trefoilstile::base
+{
+
+/// IPv4 or IPv6 address as a 128-bit number in two halves.
+struct IpAddress {
+    std::uint64_t high {};
+    std::uint64_t low {};
+
+    /// True for an IPv4-mapped address.
+    bool isV4() const;
+
+    friend constexpr auto operator<=>(const IpAddress &, const IpAddress &) = default;
+};
+
+/// Block of addresses that share their first `prefixLength` bits.
+struct IpBlock {
+    IpAddress first; ///< bits after the prefix are zero
+    std::uint8_t prefixLength {}; ///< 0 to 128, counted in the 128-bit form
+
+    bool contains(const IpAddress &address) const;
+
+    friend constexpr auto operator<=>(const IpBlock &, const IpBlock &) = default;
+};
+
+/// Address read from its usual text form, or nothing.
+std::optional<IpAddress> parseIpAddress(std::string_view text);
+
+/// Block read from `address/length`, or nothing if the text is malformed or has bits set after the prefix.
+std::optional<IpBlock> parseIpBlock(std::string_view text);
+
+/// Usual text form of the address.
+std::string toString(const IpAddress &address);
+
+/// The address with all bits after the first `prefixLength` cleared.
+IpAddress masked(const IpAddress &address, unsigned prefixLength);
+
+} // namespace trefoilstile::base
--- /dev/null
+++ b/include/trefoilstile/engine/event.hpp
@@ -0,0 +1,161 @@
+// What happens at one entry instance, as the engine is told of it.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/base/ip.hpp"
+#include "trefoilstile/base/time.hpp"
+#include "trefoilstile/document/steering_document.hpp"
+
+namespace trefoilstile::engine
+{
+
+/// A caller's request has arrived whole, up to the end of its body.
+struct RequestArrived {
+    base::RequestId id; ///< chosen by the embedder, never used twice
+    std::string host; ///< lower case, without port
+    std::string path; ///< without query
+    std::string method;
+    std::string idempotencyKey; ///< empty if the caller gave none
+    base::IpAddress client;
+    std::optional<base::Duration> timeLeft; ///< the caller's deadline, from now
+    std::uint64_t bodyBytes {};
+    bool relayed = false; ///< came from another entry instance; is not relayed again
+};
+
+/// How an attempt at an upstream ended.
+enum class AttemptResult : std::uint8_t {
+    Completed, ///< the whole response has been passed on
+    RejectedNotRun, ///< the upstream said explicitly that the request did not run
+    NothingSent, ///< no byte of the request left this process (connect failed, or rejected locally)
+    Failed, ///< failed after bytes were sent and before the first byte of the response
+    TimedOut, ///< no first byte of the response within the time given
+    Broken, ///< failed after part of the response was passed on; see `AttemptEnded::resumable`
+    ObjectChanged, ///< a resumption was rejected because the object has changed
+};
+
+/// Response kept so that a repeat with the same key gets the same one.
+struct StoredResponse {
+    std::uint16_t status {};
+    std::string contentType;
+    std::string body; ///< bounded by the embedder; see `truncated`
+    bool truncated = false; ///< the body was too large to keep; repeats get the status and an empty body
+};
+
+/// A attempt has ended. Told once for each `Forward` command, whatever happened.
+struct AttemptEnded {
+    base::RequestId id;
+    base::AttemptId attemptId;
+    AttemptResult result = AttemptResult::Failed;
+    base::Duration latency {}; ///< from the command to the first byte of the response, or to the end without one
+    std::uint64_t bytes {}; ///< body bytes moved both ways
+    std::uint16_t status {}; ///< HTTP status of the response; 0 if none
+    bool resumable = false; ///< for `Broken`: the rest can be asked for with `Range` and `If-Match`
+    bool upstreamLeaving = false; ///< the response said that the upstream is leaving
+    std::shared_ptr<const StoredResponse> response; ///< for keyed requests that were completed
+};
+
+/// The caller closed its connection before the response was complete.
+struct CallerDisconnected {
+    base::RequestId id;
+};
+
+/// State of an upstream as its load endpoint gave it.
+enum class UpstreamState : std::uint8_t { Live, Cold, Leaving };
+
+/// Reply of an upstream's load endpoint. Missing replies are not reported.
+struct LoadReported {
+    std::string upstream; ///< name in the document
+    base::IncarnationId incarnation;
+    UpstreamState state = UpstreamState::Live;
+    std::uint32_t slots {};
+    std::uint32_t busy {};
+    std::uint32_t queued {};
+};
+
+/// Kind of thing that a drain names.
+enum class DrainKind : std::uint8_t { Upstream, Entry, FailureDomain, Region };
+
+/// One planned drain.
+struct Drain {
+    DrainKind kind = DrainKind::Upstream;
+    std::string name;
+
+    friend auto operator<=>(const Drain &, const Drain &) = default;
+};
+
+/// A new drain list is in effect at this node. Lists that are not newer than the present one are ignored.
+struct DrainsUpdated {
+    base::Generation generation;
+    std::vector<Drain> drains;
+};
+
+/// A new document is in effect at this node. Documents that are not newer than the present one are ignored.
+struct DocumentUpdated {
+    base::Generation generation;
+    std::shared_ptr<const document::SteeringDocument> document;
+};
+
+/// Platform's lagging list says that an upstream is leaving. It never says that one is back.
+struct UpstreamListedLeaving {
+    std::string upstream;
+    base::IncarnationId incarnation;
+};
+
+/// Result of claiming a caller-generated key in the table service.
+enum class ClaimResult : std::uint8_t {
+    Won, ///< this instance owns the key
+    Taken, ///< another claim holds it
+    Unavailable, ///< the store gave no definite reply in time; the claim may exist
+};
+
+struct ClaimEnded {
+    base::RequestId id;
+    ClaimResult result = ClaimResult::Unavailable;
+};
+
+/// How a relay to the issuer of a key ended.
+struct RelayEnded {
+    base::RequestId id;
+    bool responded = false; ///< the issuer's response has been passed on; otherwise the engine rejects with `unknown`
+};
+
+/// One entry instance as the member list has it.
+struct EntryMember {
+    std::string name;
+    base::IncarnationId incarnation;
+    std::string callerAddress; ///< `IP:port`
+    std::string region;
+    std::string failureDomain;
+    bool alive = true;
+    bool leaving = false;
+};
+
+/// The member list has changed; the whole list, this instance included.
+struct MembersUpdated {
+    std::vector<EntryMember> members;
+};
+
+/// A planned stop has begun: lookup responses leave this instance out; requests go on until none is left.
+struct StopRequested {
+};
+
+using Event = std::variant<RequestArrived,
+    AttemptEnded,
+    CallerDisconnected,
+    LoadReported,
+    DrainsUpdated,
+    DocumentUpdated,
+    UpstreamListedLeaving,
+    ClaimEnded,
+    RelayEnded,
+    MembersUpdated,
+    StopRequested>;
+
+} // namespace trefoilstile::engine
