--- a/include/trefoilstile/base/ip.hpp
+++ b/include/trefoilstile/base/ip.hpp
@@ -18,7 +18,8 @@
     /// True for an IPv4-mapped address.
     bool isV4() const;
 
-    friend constexpr auto operator<=>(const IpAddress &, const IpAddress &) = default;
+    // The check takes the 0 in rewritten comparisons such as a < b for a null pointer; the same holds for blocks below.
+    friend constexpr auto operator<=>(const IpAddress &, const IpAddress &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Block of addresses that share their first `prefixLength` bits.
@@ -28,7 +29,7 @@
 
     bool contains(const IpAddress &address) const;
 
-    friend constexpr auto operator<=>(const IpBlock &, const IpBlock &) = default;
+    friend constexpr auto operator<=>(const IpBlock &, const IpBlock &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Address read from its usual text form, or nothing.
