--- /dev/null
+++ b/src/upstream/concurrency_limit.cpp
@@ -0,0 +1,120 @@
+// Adaptive concurrency limit of one upstream.
+
+#include "trefoilstile/upstream/concurrency_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace trefoilstile::upstream
+{
+
+namespace
+{
+
+// The baseline follows lower latencies at once in good part and higher ones slowly, so that a loaded spell does not
+// become the norm, and a lasting change does within a few hundred responses.
+constexpr double s_baselineDown = 0.25;
+constexpr double s_baselineUp = 1.0 / 256.0;
+constexpr double s_recentGain = 0.25;
+
+// Part of the limit from which it counts as in use.
+constexpr double s_inUse = 0.8;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(double initial, std::uint32_t ceiling, LimitOptions options)
+    : m_options(options)
+    , m_initial(1.0)
+    , m_ceiling(1)
+    , m_value(1.0)
+{
+    configure(initial, ceiling);
+}
+
+void ConcurrencyLimit::configure(double initial, std::uint32_t ceiling)
+{
+    // A limit that overload has not pushed below its initial value moves with it, for example when an instance that
+    // shared the upstream is gone.
+    const bool reduced = m_value < m_initial;
+    m_ceiling = std::max(ceiling, 1U);
+    m_initial = std::clamp(initial, 1.0, static_cast<double>(m_ceiling));
+    m_value = std::clamp(reduced ? m_value : std::max(m_value, m_initial), 1.0, static_cast<double>(m_ceiling));
+}
+
+void ConcurrencyLimit::observe(LimitSignal signal, base::PriorityClass priorityClass, base::Duration latency, std::uint32_t inFlight, base::TimePoint now)
+{
+    const bool inUse = static_cast<double>(inFlight) >= s_inUse * m_value;
+    if (!inUse && m_observedAt) {
+        const double elapsed = std::max(0.0, base::toSeconds(now - *m_observedAt));
+        m_value += (m_initial - m_value) * (1.0 - std::exp(-elapsed / base::toSeconds(m_options.relaxation)));
+    }
+    m_observedAt = now;
+    if (signal == LimitSignal::Overloaded) {
+        reduce(m_options.timeoutFactor, now);
+    } else if (signal == LimitSignal::Good) {
+        if (isHigh(priorityClass, latency)) {
+            reduce(m_options.latencyFactor, now);
+        } else if (inUse) {
+            m_value = std::min(m_value + 1.0 / m_value, static_cast<double>(m_ceiling));
+        }
+    }
+}
+
+bool ConcurrencyLimit::isHigh(base::PriorityClass priorityClass, base::Duration latency)
+{
+    const double sample = base::toSeconds(latency);
+    double &baseline = m_baseline[priorityClass];
+    double &recent = m_recent[priorityClass];
+    if (baseline <= 0.0) {
+        baseline = sample;
+        recent = sample;
+        return false;
+    }
+    baseline += (sample < baseline ? s_baselineDown : s_baselineUp) * (sample - baseline);
+    recent += s_recentGain * (sample - recent);
+    return recent > m_options.latencyTolerance * baseline;
+}
+
+void ConcurrencyLimit::reduce(double factor, base::TimePoint now)
+{
+    if (m_reducedAt && now - *m_reducedAt < m_options.reductionInterval) {
+        return;
+    }
+    m_reducedAt = now;
+    m_value = std::max(1.0, m_value * factor);
+}
+
+void ConcurrencyLimit::startSlow(base::TimePoint now, base::Duration warmUp)
+{
+    m_rampStart = now;
+    m_warmUp = warmUp;
+}
+
+double ConcurrencyLimit::ramp(base::TimePoint now) const
+{
+    if (!m_rampStart || m_warmUp <= base::Duration(0) || now >= *m_rampStart + m_warmUp) {
+        return 1.0;
+    }
+    const double progress = base::toSeconds(now - *m_rampStart) / base::toSeconds(m_warmUp);
+    return s_rampFloor + (1.0 - s_rampFloor) * std::clamp(progress, 0.0, 1.0);
+}
+
+std::uint32_t ConcurrencyLimit::allowed(base::TimePoint now) const
+{
+    return std::max(1U, static_cast<std::uint32_t>(m_value * ramp(now) + 1e-9));
+}
+
+std::optional<base::Duration> ConcurrencyLimit::baseline(base::PriorityClass priorityClass) const
+{
+    if (m_baseline[priorityClass] <= 0.0) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(m_baseline[priorityClass]));
+}
+
+std::uint32_t instanceCeiling(std::uint32_t connections, std::uint32_t maximumEntryInstances)
+{
+    return std::max(1U, connections / std::max(1U, maximumEntryInstances));
+}
+
+} // namespace trefoilstile::upstream
--- /dev/null
+++ b/src/upstream/upstream_set.cpp
@@ -0,0 +1,191 @@
+// Choice of upstreams, their concurrency and their results.
+
+#include "trefoilstile/upstream/upstream_set.hpp"
+
+#include <algorithm>
+
+#include "trefoilstile/upstream/slot_split.hpp"
+
+namespace trefoilstile::upstream
+{
+
+namespace
+{
+
+// Period over which rounded parts of slots stay the same. About the lag of measurements: shorter ones would move load
+// before its effect is seen.
+constexpr base::Duration s_roundingPeriod = std::chrono::seconds(5);
+
+// Part of a remote upstream's slots that is taken as idle without reports.
+constexpr double s_unknownIdle = 0.25;
+
+std::uint64_t roundingPeriod(base::TimePoint now)
+{
+    return static_cast<std::uint64_t>(now.time_since_epoch() / s_roundingPeriod);
+}
+
+LimitSignal limitSignal(const AttemptReport &report)
+{
+    using engine::AttemptResult;
+    if (report.abandoned) {
+        return LimitSignal::None;
+    }
+    switch (report.result) {
+    case AttemptResult::Completed:
+    case AttemptResult::ObjectChanged:
+        return LimitSignal::Good;
+    case AttemptResult::RejectedNotRun:
+    case AttemptResult::Failed:
+    case AttemptResult::TimedOut:
+        return LimitSignal::Overloaded;
+    case AttemptResult::NothingSent:
+    case AttemptResult::Broken:
+        break;
+    }
+    return LimitSignal::None;
+}
+
+} // namespace
+
+std::optional<Candidate> UpstreamSet::candidate(const Member &member, std::size_t index, const ChoiceRequest &request, bool distrust, base::TimePoint now) const
+{
+    if (!takesWork(member, distrust) || std::find(request.excluded.begin(), request.excluded.end(), index) != request.excluded.end()) {
+        return std::nullopt;
+    }
+    std::uint32_t most = allowedOf(member, now);
+    if (request.beyondLimit) {
+        most = std::min(most + 1, member.limit.ceiling());
+    }
+    if (member.inFlight >= most) {
+        return std::nullopt;
+    }
+    Candidate result {index, member.inFlight, most, member.entry.weight * member.limit.ramp(now), 0.0, 0.0};
+    if (distrust) {
+        result.weight *= member.health.connectFailed() ? m_options.connectFailurePenalty : 1.0;
+    } else {
+        result.weight *= 1.0 - 0.9 * member.health.failureRate(now);
+        result.reportedLoad = member.health.reportedLoad(member.inFlight);
+        result.reportWeight = member.health.reportWeight(now);
+    }
+    return result;
+}
+
+bool UpstreamSet::takesWork(const Member &member, bool distrust) const
+{
+    return member.present && !member.leaving.leaving() && (distrust || !member.health.ejected());
+}
+
+bool UpstreamSet::distrusted() const
+{
+    std::size_t usable = 0;
+    std::size_t unhealthy = 0;
+    for (const Member &member : m_members) {
+        if (member.present && !member.leaving.leaving()) {
+            ++usable;
+            unhealthy += member.health.ejected() ? 1 : 0;
+        }
+    }
+    return 2 * unhealthy > usable;
+}
+
+std::optional<std::size_t> UpstreamSet::probeTarget(const ChoiceRequest &request, base::TimePoint now) const
+{
+    // A probe may fail, so urgent requests are spared; they are rarely idempotent anyway.
+    if (!request.idempotent || request.priorityClass == base::PriorityClass::Urgent) {
+        return std::nullopt;
+    }
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const Member &member = m_members[index];
+        const bool wanted = std::find(request.domains.begin(), request.domains.end(), member.domain) != request.domains.end();
+        const bool tried = std::find(request.excluded.begin(), request.excluded.end(), index) != request.excluded.end();
+        if (wanted && !tried && member.present && !member.leaving.leaving() && member.inFlight == 0 && member.health.probeDue(now)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+Choice UpstreamSet::take(std::size_t index, bool probe)
+{
+    Member &member = m_members[index];
+    ++member.inFlight;
+    member.health.started();
+    return {index, probe, member.leaving.incarnation()};
+}
+
+void UpstreamSet::giveBack(const Choice &choice, base::PriorityClass priorityClass, const AttemptReport &report, base::TimePoint now)
+{
+    Member &member = m_members[choice.index];
+    member.limit.observe(limitSignal(report), priorityClass, report.latency, member.inFlight, now);
+    member.inFlight -= member.inFlight > 0 ? 1 : 0;
+    if (report.upstreamLeaving) {
+        member.leaving.responded(choice.incarnation);
+    }
+    if (member.health.takeReturned()) {
+        member.limit.startSlow(now, m_config.warmUp);
+    }
+    member.unused = !member.present && member.inFlight == 0;
+}
+
+std::uint32_t UpstreamSet::allowed(std::size_t index, base::TimePoint now) const
+{
+    const Member &member = m_members.at(index);
+    return takesWork(member, distrusted()) ? allowedOf(member, now) : 0;
+}
+
+std::uint32_t UpstreamSet::allowedOf(const Member &member, base::TimePoint now) const
+{
+    const std::uint32_t limit = member.limit.allowed(now);
+    if (!m_options.splitSlots) {
+        return limit;
+    }
+    const double ramp = member.limit.ramp(now);
+    const std::uint32_t own = ramp < 1.0 ? roundByHash(ramp * member.part, member.entry.name, m_config.instance, roundingPeriod(now)) : member.part;
+    return std::min(limit, own + idleShare(member, now));
+}
+
+// Whole slots beyond the own part that this instance may use, since reports say that they are idle.
+std::uint32_t UpstreamSet::idleShare(const Member &member, base::TimePoint now) const
+{
+    const double slots = member.entry.slots;
+    const double weight = member.health.reportWeight(now);
+    const double idle = std::max(0.0, 1.0 - member.health.reportedLoad(member.inFlight)) * slots;
+    const double unknown = member.part == 0 ? s_unknownIdle * slots : 0.0;
+    const double share = (weight * idle + (1.0 - weight) * unknown) * member.limit.ramp(now) / static_cast<double>(member.sharers);
+    return roundByHash(share, member.entry.name, m_config.instance, roundingPeriod(now));
+}
+
+std::uint32_t UpstreamSet::concurrency(std::span<const DomainIndex> domains, base::TimePoint now) const
+{
+    const bool distrust = distrusted();
+    std::uint32_t total = 0;
+    for (const Member &member : m_members) {
+        const bool wanted = std::find(domains.begin(), domains.end(), member.domain) != domains.end();
+        total += wanted && takesWork(member, distrust) ? std::max(allowedOf(member, now), member.inFlight) : member.inFlight;
+    }
+    return total;
+}
+
+bool UpstreamSet::canChoose(const ChoiceRequest &request, base::TimePoint now) const
+{
+    const bool distrust = distrusted();
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const Member &member = m_members[index];
+        const bool wanted = std::find(request.domains.begin(), request.domains.end(), member.domain) != request.domains.end();
+        if (wanted && candidate(member, index, request, distrust, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::uint32_t UpstreamSet::inFlight() const
+{
+    std::uint32_t total = 0;
+    for (const Member &member : m_members) {
+        total += member.inFlight;
+    }
+    return total;
+}
+
+} // namespace trefoilstile::upstream
--- /dev/null
+++ b/src/upstream/upstream_set_update.cpp
@@ -0,0 +1,268 @@
+// Changes of an upstream set from outside: documents, instances, drains, lists and load reports.
+
+#include <algorithm>
+#include <utility>
+
+#include "trefoilstile/upstream/slot_split.hpp"
+#include "trefoilstile/upstream/upstream_set.hpp"
+
+namespace trefoilstile::upstream
+{
+
+namespace
+{
+
+std::string regionName(const document::SteeringDocument &document, std::string_view failureDomain)
+{
+    for (const document::Region &region : document.regions) {
+        for (const document::FailureDomain &domain : region.failureDomains) {
+            if (domain.name == failureDomain) {
+                return region.name;
+            }
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+UpstreamSetConfig upstreamSetConfig(
+    const document::SteeringDocument &document, const document::Service &service, std::string_view environment, std::string_view instance)
+{
+    UpstreamSetConfig config;
+    config.instance = instance;
+    config.maximumEntryInstances = document.maximumEntryInstances;
+    config.warmUp = service.warmUp;
+    for (const document::Upstream &upstream : service.upstreams) {
+        auto address = upstream.addresses.find(environment);
+        if (address == upstream.addresses.end()) {
+            address = upstream.addresses.find("*");
+        }
+        if (address != upstream.addresses.end()) {
+            config.upstreams.push_back({upstream.name,
+                address->second,
+                upstream.failureDomain,
+                regionName(document, upstream.failureDomain),
+                upstream.slots,
+                upstream.connections,
+                upstream.weight});
+        }
+    }
+    return config;
+}
+
+UpstreamSet::UpstreamSet(const UpstreamSetConfig &config, UpstreamSetOptions options)
+    : m_config(config)
+    , m_options(options)
+{
+    for (const UpstreamSetConfig::Entry &entry : config.upstreams) {
+        addMember(entry);
+    }
+    updateDomains();
+    updateParts();
+}
+
+void UpstreamSet::update(const UpstreamSetConfig &config, base::TimePoint now)
+{
+    m_config = config;
+    for (Member &member : m_members) {
+        const auto same = std::find_if(config.upstreams.begin(), config.upstreams.end(), [&](const UpstreamSetConfig::Entry &entry) {
+            return entry.name == member.entry.name && entry.address == member.entry.address;
+        });
+        member.present = member.present && same != config.upstreams.end();
+        member.unused = !member.present && member.inFlight == 0;
+        if (member.present) {
+            member.entry = *same;
+        }
+    }
+    for (const UpstreamSetConfig::Entry &entry : config.upstreams) {
+        if (!find(entry.name)) {
+            Member &member = m_members[addMember(entry)];
+            member.leaving.drainListed(m_drainGeneration, isDrained(member));
+            member.limit.startSlow(now, m_config.warmUp);
+        }
+    }
+    updateDomains();
+    updateParts();
+}
+
+std::size_t UpstreamSet::addMember(const UpstreamSetConfig::Entry &entry)
+{
+    Member member {.entry = entry,
+        .limit = ConcurrencyLimit(1.0, instanceCeiling(entry.connections, m_config.maximumEntryInstances), m_options.limit),
+        .health = UpstreamHealth(m_options.health),
+        .leaving = {},
+        .coldIncarnation = {}};
+    const auto unused = std::find_if(m_members.begin(), m_members.end(), [](const Member &present) {
+        return present.unused;
+    });
+    if (unused == m_members.end()) {
+        m_members.push_back(std::move(member));
+        return m_members.size() - 1;
+    }
+    *unused = std::move(member);
+    return static_cast<std::size_t>(unused - m_members.begin());
+}
+
+void UpstreamSet::updateDomains()
+{
+    m_domains.clear();
+    m_domainRegions.clear();
+    for (Member &member : m_members) {
+        const auto found = std::find(m_domains.begin(), m_domains.end(), member.entry.failureDomain);
+        member.domain = static_cast<DomainIndex>(found - m_domains.begin());
+        if (found == m_domains.end()) {
+            m_domains.push_back(member.entry.failureDomain);
+            m_domainRegions.push_back(member.entry.region);
+        }
+    }
+}
+
+void UpstreamSet::updateInstances(std::span<const SplitMember> members)
+{
+    m_instances.assign(members.begin(), members.end());
+    updateParts();
+}
+
+void UpstreamSet::updateParts()
+{
+    const auto self = std::find_if(m_instances.begin(), m_instances.end(), [&](const SplitMember &instance) {
+        return instance.name == m_config.instance;
+    });
+    Member *nearest = nullptr;
+    std::uint32_t nearestRank = 0;
+    std::uint32_t total = 0;
+    for (Member &member : m_members) {
+        std::vector<std::string> sharing;
+        for (const SplitMember &instance : m_instances) {
+            if (instance.region == member.entry.region) {
+                sharing.push_back(instance.name);
+            }
+        }
+        // Before the member list is known, the instance assumes the most sharers that the document allows.
+        const bool inRegion = self != m_instances.end() && self->region == member.entry.region;
+        const bool alone = self == m_instances.end();
+        member.sharers = std::max<std::uint32_t>(1, alone ? m_config.maximumEntryInstances : static_cast<std::uint32_t>(m_instances.size()));
+        member.part = alone ? std::max(1U, member.entry.slots / member.sharers) : slotPart(member.entry.name, member.entry.slots, sharing, m_config.instance);
+        if (inRegion && member.present) {
+            member.sharers = static_cast<std::uint32_t>(sharing.size());
+            total += member.part;
+            const std::uint32_t rank = slotRank(member.entry.name, sharing, m_config.instance);
+            if (nearest == nullptr || rank < nearestRank) {
+                nearest = &member;
+                nearestRank = rank;
+            }
+        }
+    }
+    // With fewer slots than instances, each still gets one, so that it can serve its callers at all.
+    if (nearest != nullptr && total == 0) {
+        nearest->part = 1;
+    }
+    for (Member &member : m_members) {
+        const double initial = m_options.splitSlots ? member.part : static_cast<double>(member.entry.slots) / member.sharers;
+        member.limit.configure(initial, instanceCeiling(member.entry.connections, m_config.maximumEntryInstances));
+    }
+}
+
+bool UpstreamSet::isDrained(const Member &member) const
+{
+    return std::any_of(m_drains.begin(), m_drains.end(), [&](const engine::Drain &drain) {
+        switch (drain.kind) {
+        case engine::DrainKind::Upstream:
+            return drain.name == member.entry.name;
+        case engine::DrainKind::FailureDomain:
+            return drain.name == member.entry.failureDomain;
+        case engine::DrainKind::Region:
+            return drain.name == member.entry.region;
+        case engine::DrainKind::Entry:
+            break;
+        }
+        return false;
+    });
+}
+
+void UpstreamSet::drainsUpdated(base::Generation generation, std::span<const engine::Drain> drains, base::TimePoint now)
+{
+    if (generation.value <= m_drainGeneration.value) {
+        return;
+    }
+    m_drainGeneration = generation;
+    m_drains.assign(drains.begin(), drains.end());
+    for (Member &member : m_members) {
+        const bool wasLeaving = member.leaving.leaving();
+        member.leaving.drainListed(generation, isDrained(member));
+        settleReturn(member, wasLeaving, now);
+    }
+}
+
+void UpstreamSet::listedLeaving(std::string_view upstream, base::IncarnationId incarnation)
+{
+    if (const std::optional<std::size_t> index = find(upstream)) {
+        m_members[*index].leaving.platformListed(incarnation);
+    }
+}
+
+void UpstreamSet::loadReported(const engine::LoadReported &report, base::TimePoint now)
+{
+    const std::optional<std::size_t> index = find(report.upstream);
+    if (!index) {
+        return;
+    }
+    Member &member = m_members[*index];
+    const bool wasLeaving = member.leaving.leaving();
+    const std::optional<base::IncarnationId> before = member.leaving.incarnation();
+    if (!member.leaving.reported(report.incarnation, report.state)) {
+        return;
+    }
+    member.health.reported(report, now);
+    const bool replaced = before && *before != report.incarnation;
+    const bool cold = report.state == engine::UpstreamState::Cold && member.coldIncarnation != report.incarnation;
+    if (cold) {
+        member.coldIncarnation = report.incarnation;
+    }
+    if (replaced || cold) {
+        member.limit.startSlow(now, m_config.warmUp);
+    } else {
+        settleReturn(member, wasLeaving, now);
+    }
+}
+
+void UpstreamSet::settleReturn(Member &member, bool wasLeaving, base::TimePoint now)
+{
+    if (wasLeaving && !member.leaving.leaving()) {
+        member.limit.startSlow(now, m_config.warmUp);
+    }
+}
+
+std::optional<DomainIndex> UpstreamSet::domain(std::string_view failureDomain) const
+{
+    const auto found = std::find(m_domains.begin(), m_domains.end(), failureDomain);
+    return found == m_domains.end() ? std::nullopt : std::optional(static_cast<DomainIndex>(found - m_domains.begin()));
+}
+
+std::vector<DomainIndex> UpstreamSet::domainsFrom(std::string_view local, std::string_view region, bool otherRegions) const
+{
+    std::vector<DomainIndex> result;
+    for (const int rank : {0, 1, 2}) {
+        for (std::size_t index = 0; index < m_domains.size(); ++index) {
+            const bool near = m_domainRegions[index] == region;
+            const int ownRank = m_domains[index] == local ? 0 : (near ? 1 : 2);
+            if (ownRank == rank && (rank < 2 || otherRegions)) {
+                result.push_back(static_cast<DomainIndex>(index));
+            }
+        }
+    }
+    return result;
+}
+
+std::optional<std::size_t> UpstreamSet::find(std::string_view upstream) const
+{
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        if (m_members[index].present && m_members[index].entry.name == upstream) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace trefoilstile::upstream
