--- /dev/null
+++ b/src/idempotency/key_table_transitions.cpp
@@ -0,0 +1,201 @@
+// Transitions of records in progress. Each checks first that the caller of the function holds the key and that the state
+// machine has the transition, and only then changes anything.
+
+#include "trefoilstile/idempotency/key_table.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "trefoilstile/idempotency/error.hpp"
+
+namespace trefoilstile::idempotency
+{
+
+namespace
+{
+void check(const KeyRecord &record, KeyState to, std::string_view key)
+{
+    checkTransition(record.state, to, key);
+}
+
+/// Notes that a request was told not-run, so that no copy of it runs later.
+void noteRefusal(KeyRecord &record, std::optional<std::uint32_t> repeat)
+{
+    if (repeat) {
+        record.refusedUpTo = std::max(record.refusedUpTo.value_or(0), *repeat);
+    }
+}
+
+/// Response as it is stored: without its body if that is too large.
+StoredResponsePointer bounded(const StoredResponsePointer &response, std::size_t limit)
+{
+    if (response && response->contentType.capacity() + response->body.capacity() > limit) {
+        const bool keepType = response->contentType.size() <= limit / 4;
+        return std::make_shared<StoredResponse>(StoredResponse {response->status, keepType ? response->contentType : std::string(), {}, true});
+    }
+    return response;
+}
+} // namespace
+
+KeyTable::Entries::value_type &KeyTable::held(std::string_view key, base::RequestId id)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || !idempotency::inProgress(found->second.record.state) || found->second.record.holder != id) {
+        throw Error(fmt::format("key {}: request {} does not hold it", key, id.value));
+    }
+    return *found;
+}
+
+void KeyTable::claimWon(std::string_view key, base::RequestId id)
+{
+    KeyRecord &record = held(key, id).second.record;
+    if (record.state != KeyState::Claiming) {
+        throw Error(fmt::format("key {}: no claim is under way", key));
+    }
+    record.state = KeyState::Queued;
+    record.claimWon = true;
+}
+
+Ending KeyTable::claimTaken(std::string_view key, base::RequestId id, base::TimePoint now)
+{
+    auto &item = held(key, id);
+    if (item.second.record.state != KeyState::Claiming) {
+        throw Error(fmt::format("key {}: no claim is under way", key));
+    }
+    return finish(item, KeyState::Unknown, now);
+}
+
+Ending KeyTable::claimUnavailable(std::string_view key, base::RequestId id, base::TimePoint now)
+{
+    auto &item = held(key, id);
+    if (item.second.record.state != KeyState::Claiming) {
+        throw Error(fmt::format("key {}: no claim is under way", key));
+    }
+    return finish(item, KeyState::NotRun, now);
+}
+
+void KeyTable::markSent(std::string_view key, base::RequestId id)
+{
+    KeyRecord &record = held(key, id).second.record;
+    check(record, KeyState::Sent, key);
+    record.state = KeyState::Sent;
+}
+
+void KeyTable::returnToQueue(std::string_view key, base::RequestId id)
+{
+    KeyRecord &record = held(key, id).second.record;
+    if (record.state != KeyState::Sent) {
+        throw Error(fmt::format("key {}: nothing was sent", key));
+    }
+    record.state = KeyState::Queued;
+}
+
+Ending KeyTable::expire(std::string_view key, base::RequestId id, base::TimePoint now)
+{
+    auto &item = held(key, id);
+    if (item.second.record.state != KeyState::Queued) {
+        throw Error(fmt::format("key {}: request {} is not queued but {}", key, id.value, toString(item.second.record.state)));
+    }
+    return finish(item, KeyState::NotRun, now);
+}
+
+Ending KeyTable::proveNotRun(std::string_view key, base::RequestId id, base::TimePoint now)
+{
+    auto &item = held(key, id);
+    if (item.second.record.state != KeyState::Sent) {
+        throw Error(fmt::format("key {}: nothing was sent", key));
+    }
+    return finish(item, KeyState::NotRun, now);
+}
+
+Ending KeyTable::complete(std::string_view key, base::RequestId id, const StoredResponsePointer &response, base::TimePoint now)
+{
+    auto &item = held(key, id);
+    check(item.second.record, KeyState::Completed, key);
+    if (!response) {
+        throw Error(fmt::format("key {}: completed without a response", key));
+    }
+    item.second.record.response = bounded(response, m_options.maximumStoredResponse);
+    return finish(item, KeyState::Completed, now);
+}
+
+Ending KeyTable::loseOutcome(std::string_view key, base::RequestId id, base::TimePoint now)
+{
+    auto &item = held(key, id);
+    if (item.second.record.state != KeyState::Sent) {
+        throw Error(fmt::format("key {}: nothing was sent", key));
+    }
+    return finish(item, KeyState::Unknown, now);
+}
+
+Ending KeyTable::finish(Entries::value_type &item, KeyState state, base::TimePoint now)
+{
+    KeyRecord &record = item.second.record;
+    checkTransition(record.state, state, item.first);
+    // Without a claim of our own, an attempt before this one may have run at another instance.
+    const bool unclaimed = record.claim != 0 && !record.claimWon;
+    Ending ending {.response = record.response};
+    const auto tell = [&](base::RequestId id, std::optional<std::uint32_t> repeat) {
+        Outcome outcome = state == KeyState::Completed ? Outcome::Replay : Outcome::Unknown;
+        if (state == KeyState::NotRun && (!unclaimed || repeat == 0U)) {
+            outcome = Outcome::NotRun;
+            noteRefusal(record, repeat);
+        }
+        ending.told.push_back({id, outcome});
+    };
+    if (state != KeyState::Completed) {
+        tell(record.holder, record.holderRepeat);
+    }
+    for (const Waiter &waiter : record.waiters) {
+        tell(waiter.id, waiter.repeat);
+    }
+    settle(item, state, now);
+    return ending;
+}
+
+void KeyTable::settle(Entries::value_type &item, KeyState state, base::TimePoint now)
+{
+    auto &[key, entry] = item;
+    entry.record.state = state;
+    entry.record.waiters = {};
+    --m_inProgress;
+    m_bytes -= entry.charged;
+    entry.charged = 0;
+    if (state == KeyState::NotRun && !entry.record.refusedUpTo && entry.record.claim == 0) {
+        // The record says no more than its absence: the key never ran, and no numbered attempt was refused.
+        m_entries.erase(m_entries.find(key));
+        return;
+    }
+    charge(entry, s_recordBytes + key.size() + chargedBytes(entry.record.response));
+    entry.ended = m_ended.insert(m_ended.end(), {now, key});
+}
+
+Withdrawn KeyTable::withdraw(std::string_view key, base::RequestId id, base::TimePoint now)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || !idempotency::inProgress(found->second.record.state)) {
+        return {};
+    }
+    KeyRecord &record = found->second.record;
+    if (record.holder != id) {
+        const auto removed = std::erase_if(record.waiters, [id](const Waiter &waiter) {
+            return waiter.id == id;
+        });
+        return {removed != 0 ? Withdrawal::WaiterRemoved : Withdrawal::NotHeld, {}};
+    }
+    if (record.state != KeyState::Queued) {
+        return {Withdrawal::Continues, {}};
+    }
+    if (record.waiters.empty()) {
+        settle(*found, KeyState::NotRun, now);
+        return {Withdrawal::Cancelled, {}};
+    }
+    const Waiter next = record.waiters.front();
+    record.waiters.erase(record.waiters.begin());
+    record.holder = next.id;
+    record.holderRepeat = next.repeat;
+    return {Withdrawal::HandedOver, next.id};
+}
+
+} // namespace trefoilstile::idempotency
