--- a/include/trefoilstile/admission/class_scheduler.hpp
+++ b/include/trefoilstile/admission/class_scheduler.hpp
@@ -29,7 +29,7 @@
 /// Behaviour of a scheduler. Numbers not taken from the document were chosen with bench/policy.
 struct SchedulerOptions {
     base::PerClass<document::ClassPolicy> classes;
-    base::PerClass<bool> used {{true, true, true}}; ///< some route gives the class; nothing is reserved for others
+    base::PerClass<bool> used{{true, true, true}}; ///< some route gives the class; nothing is reserved for others
     std::uint32_t queueLength = 200; ///< waiting requests of each class
     QueueOrder order = QueueOrder::Fifo;
     /// A request is rejected early if its estimated wait is above this part of its time left.
@@ -37,7 +37,7 @@
     /// Time within which a class gets the missing part of its share back from finishing work. What finishing work gives
     /// back in this time is lent out, the rest is kept free. Less urgent classes can wait longer, so less is kept free
     /// for them when work is short, and all of their share when it is long.
-    base::PerClass<base::Duration> reclaimTime {{std::chrono::milliseconds(5), std::chrono::milliseconds(50), std::chrono::milliseconds(500)}};
+    base::PerClass<base::Duration> reclaimTime{{std::chrono::milliseconds(5), std::chrono::milliseconds(50), std::chrono::milliseconds(500)}};
     /// One urgent request may start above the slots if all of them are taken and no urgent one runs. With one or two
     /// slots no reserve is possible without stopping the other classes.
     bool urgentBeyondSlots = true;
@@ -156,7 +156,7 @@
     base::PerClass<double> m_credit;
     // Weighted slot-seconds taken beyond the shares (start-time fair queueing); the least one borrows next.
     base::PerClass<double> m_borrowed;
-    double m_borrowClock {};
+    double m_borrowClock{};
     base::PerClass<ServiceTimes> m_times;
     base::PerClass<DemandMeter> m_demand;
     std::optional<base::TimePoint> m_advancedAt;
--- a/include/trefoilstile/admission/demand_meter.hpp
+++ b/include/trefoilstile/admission/demand_meter.hpp
@@ -72,7 +72,7 @@
         return m_count * std::exp(-std::max(0.0, base::toSeconds(now - m_at)) / s_window);
     }
 
-    double m_count {};
+    double m_count{};
     base::TimePoint m_at;
 };
 
--- a/include/trefoilstile/base/ids.hpp
+++ b/include/trefoilstile/base/ids.hpp
@@ -14,7 +14,7 @@
 /// Integer with a type of its own; `Tag` tells one kind of identifier from another.
 template<typename Tag, typename Value = std::uint64_t>
 struct Id {
-    Value value {};
+    Value value{};
 
     // The check takes the 0 in rewritten comparisons such as a < b for a null pointer.
     friend constexpr auto operator<=>(const Id &, const Id &) = default; // NOLINT(modernize-use-nullptr)
@@ -49,6 +49,6 @@
 struct std::hash<trefoilstile::base::Id<Tag, Value>> {
     std::size_t operator()(const trefoilstile::base::Id<Tag, Value> &id) const noexcept
     {
-        return std::hash<Value> {}(id.value);
+        return std::hash<Value>{}(id.value);
     }
 };
--- a/include/trefoilstile/base/ip.hpp
+++ b/include/trefoilstile/base/ip.hpp
@@ -12,8 +12,8 @@
 
 /// IPv4 or IPv6 address as a 128-bit number in two halves.
 struct IpAddress {
-    std::uint64_t high {};
-    std::uint64_t low {};
+    std::uint64_t high{};
+    std::uint64_t low{};
 
     /// True for an IPv4-mapped address.
     bool isV4() const;
@@ -25,7 +25,7 @@
 /// Block of addresses that share their first `prefixLength` bits.
 struct IpBlock {
     IpAddress first; ///< bits after the prefix are zero
-    std::uint8_t prefixLength {}; ///< 0 to 128, counted in the 128-bit form
+    std::uint8_t prefixLength{}; ///< 0 to 128, counted in the 128-bit form
 
     bool contains(const IpAddress &address) const;
 
--- a/include/trefoilstile/base/priority_class.hpp
+++ b/include/trefoilstile/base/priority_class.hpp
@@ -20,12 +20,12 @@
 inline constexpr std::size_t s_priorityClassCount = 3;
 
 /// All classes, most urgent first.
-inline constexpr std::array<PriorityClass, s_priorityClassCount> s_priorityClasses {PriorityClass::Urgent, PriorityClass::Interactive, PriorityClass::Bulk};
+inline constexpr std::array<PriorityClass, s_priorityClassCount> s_priorityClasses{PriorityClass::Urgent, PriorityClass::Interactive, PriorityClass::Bulk};
 
 /// Array with one element for each class, indexed by class.
 template<typename T>
 struct PerClass {
-    std::array<T, s_priorityClassCount> values {};
+    std::array<T, s_priorityClassCount> values{};
 
     constexpr T &operator[](PriorityClass priorityClass)
     {
@@ -43,7 +43,7 @@
 /// Name of the class as it stands in documents, headers and metrics.
 constexpr std::string_view toString(PriorityClass priorityClass)
 {
-    constexpr std::array<std::string_view, s_priorityClassCount> names {"urgent", "interactive", "bulk"};
+    constexpr std::array<std::string_view, s_priorityClassCount> names{"urgent", "interactive", "bulk"};
     return names[static_cast<std::size_t>(priorityClass)];
 }
 
--- a/include/trefoilstile/document/parse.hpp
+++ b/include/trefoilstile/document/parse.hpp
@@ -18,7 +18,7 @@
 /// One fault of a document.
 struct Fault {
     std::string path; ///< such as `services[0].routes[2].class`
-    int line {}; ///< 1 is the first line; 0 if the fault has no place in the text
+    int line{}; ///< 1 is the first line; 0 if the fault has no place in the text
     std::string message;
 };
 
--- a/include/trefoilstile/document/steering_document.hpp
+++ b/include/trefoilstile/document/steering_document.hpp
@@ -19,35 +19,35 @@
 /// Part of a region that fails as a whole.
 struct FailureDomain {
     std::string name; ///< unique in the document
-    double capacity {}; ///< requests/s that its upstreams can serve; positive
+    double capacity{}; ///< requests/s that its upstreams can serve; positive
 };
 
 struct Region {
     std::string name; ///< unique in the document
-    double capacity {}; ///< requests/s; positive
+    double capacity{}; ///< requests/s; positive
     std::vector<FailureDomain> failureDomains; ///< at least one
 };
 
 /// Weight and guaranteed share of one priority class.
 struct ClassPolicy {
     double weight = 1.0; ///< positive; divides slots beyond the minimum shares
-    double minimumShare {}; ///< 0 to 1; the shares of all classes add up to at most 1
+    double minimumShare{}; ///< 0 to 1; the shares of all classes add up to at most 1
 };
 
 /// Cap on traffic moved from callers of one region to upstreams or entry instances of another.
 struct ShiftCap {
     std::string from; ///< region of the callers; a known region other than `to`
     std::string to;
-    double requestsPerSecond {}; ///< not negative; 0 forbids the shift
-    double bytesPerSecond {}; ///< not negative, both directions of the response and request bodies together
+    double requestsPerSecond{}; ///< not negative; 0 forbids the shift
+    double bytesPerSecond{}; ///< not negative, both directions of the response and request bodies together
 };
 
 struct Upstream {
     std::string name; ///< unique in the document
     std::string failureDomain; ///< a known failure domain
     std::map<std::string, std::string, std::less<>> addresses; ///< `IP:port` by environment; the key `*` serves all others
-    std::uint32_t slots {}; ///< requests served at the same time; positive
-    std::uint32_t connections {}; ///< connections accepted from all instances together; at least `slots`
+    std::uint32_t slots{}; ///< requests served at the same time; positive
+    std::uint32_t connections{}; ///< connections accepted from all instances together; at least `slots`
     double weight = 1.0; ///< static weight, positive
 };
 
@@ -88,7 +88,7 @@
 /// Block of callers and their home site.
 struct ClientBlock {
     base::IpBlock block; ///< unique in the document
-    std::uint16_t site {}; ///< index into `SteeringDocument::sites`
+    std::uint16_t site{}; ///< index into `SteeringDocument::sites`
 };
 
 /// How lookup responses are made.
@@ -101,14 +101,14 @@
 
 /// One accepted version of what operators want. Immutable once built.
 struct SteeringDocument {
-    std::uint32_t maximumEntryInstances {}; ///< instances that can run at once everywhere, replaced ones still running included; positive
+    std::uint32_t maximumEntryInstances{}; ///< instances that can run at once everywhere, replaced ones still running included; positive
     std::vector<Region> regions;
     base::PerClass<ClassPolicy> classes;
     std::vector<ShiftCap> shiftCaps; ///< at most one for each ordered pair; a pair that is absent allows no shift
     std::vector<Service> services;
     std::vector<Site> sites;
     std::vector<ClientBlock> clientBlocks;
-    std::uint16_t defaultSite {}; ///< home of callers that no block contains
+    std::uint16_t defaultSite{}; ///< home of callers that no block contains
     LookupPolicy lookup;
 
     /// Region that contains the failure domain; the name must be known.
--- a/include/trefoilstile/engine/command.hpp
+++ b/include/trefoilstile/engine/command.hpp
@@ -27,9 +27,9 @@
     bool freshConnection = false; ///< set for requests that are not idempotent: an idle connection would make the outcome ambiguous
     bool keepResponse = false; ///< the response is wanted in `AttemptEnded::response`
     bool resume = false; ///< ask only for the rest of a body that broke, with `Range` and `If-Match`
-    base::Duration connectTimeout {};
-    base::Duration firstByteTimeout {}; ///< from the command to the first byte of the response
-    base::Duration idleTimeout {}; ///< between bytes of the body
+    base::Duration connectTimeout{};
+    base::Duration firstByteTimeout{}; ///< from the command to the first byte of the response
+    base::Duration idleTimeout{}; ///< between bytes of the body
     std::string linkTo; ///< region of the upstream if it is not this instance's own; bytes are then counted against the shift cap
 };
 
@@ -53,6 +53,11 @@
     IssuerUnreachable, ///< the key belongs to another instance that could not be asked
     ClaimUnavailable, ///< the store could not be asked about a caller-generated key
     ClaimTaken,
+    OutcomeLost, ///< an earlier request with the key may have run and its response is not held
+    KeyMismatch, ///< the key was used for another request
+    KeyInvalid,
+    PathNotCanonical, ///< the path has a second reading, see `routing::isCanonicalPath`
+    Stopping, ///< the key table is sealed
     RecordsFull, ///< the key table has no room
     CallerDisconnected,
 };
@@ -63,7 +68,9 @@
     std::uint16_t status = 503; ///< HTTP status
     Outcome outcome = Outcome::Unknown;
     RejectReason reason = RejectReason::NoUpstream;
-    base::Duration retryAfter {}; ///< jittered; 0 if a retry has no use
+    std::string service; ///< empty if no route matched
+    base::PriorityClass priorityClass = base::PriorityClass::Interactive;
+    base::Duration retryAfter{}; ///< jittered; 0 if a retry has no use
 };
 
 /// Respond to the caller with the kept response of an earlier request with the same key.
@@ -76,14 +83,15 @@
 struct Relay {
     base::RequestId id;
     std::string address; ///< caller address of the issuer
-    base::Duration timeout {};
+    base::Duration timeout{};
 };
 
 /// Claim a caller-generated key in the table service. The embedder replies with one `ClaimEnded`.
 struct ClaimKey {
     base::RequestId id;
     std::string key;
-    base::Duration timeout {};
+    std::string claimId; ///< value to write; a lost reply is resolved by it
+    base::Duration timeout{};
 };
 
 /// End a response that is only partly passed on, visibly: the connection is closed without a proper end of the body.
--- /dev/null
+++ b/include/trefoilstile/engine/engine.hpp
@@ -0,0 +1,182 @@
+// Decisions of one entry instance: takes events, gives commands. Has no sockets, threads or clocks.
+//
+// At most once (P5): a request that is not idempotent has at most one attempt in progress, and another follows only
+// after a result that proves that it did not run. With a key, the key table's state machine is asked at each step.
+// `not-run` (P4): a rejection carries it only if no attempt was started, or each attempt ended with such a proof.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/base/random.hpp"
+#include "trefoilstile/base/time.hpp"
+#include "trefoilstile/engine/command.hpp"
+#include "trefoilstile/engine/event.hpp"
+#include "trefoilstile/engine/held_request.hpp"
+#include "trefoilstile/engine/service_state.hpp"
+#include "trefoilstile/idempotency/key_table.hpp"
+#include "trefoilstile/idempotency/sealed_tables.hpp"
+#include "trefoilstile/routing/entry_choice.hpp"
+#include "trefoilstile/routing/route_table.hpp"
+
+namespace trefoilstile::engine
+{
+
+struct EngineOptions {
+    std::string name; ///< of this instance in the member list
+    std::string environment; ///< chooses the addresses of upstreams
+    std::string region;
+    std::string failureDomain;
+    base::IncarnationId incarnation;
+    std::uint64_t seed = 0; ///< of jitter and tie-breaking
+    base::Duration claimTimeout = std::chrono::seconds(2); ///< for one claim in the table service
+    idempotency::KeyTableOptions keys;
+};
+
+/// Figures for status and metrics.
+struct EngineFigures {
+    std::size_t held{}; ///< requests not ended
+    base::PerClass<std::size_t> queued;
+    base::PerClass<std::size_t> running;
+    std::size_t keyRecords{};
+    std::size_t keyBytes{};
+};
+
+/// The engine. All calls come from one thread; `now` never goes back between calls.
+class Engine
+{
+public:
+    Engine(EngineOptions options, base::TimePoint now);
+
+    /// Takes one event and passes the resulting commands to the sink.
+    template<CommandSink Sink>
+    void handle(Event event, base::TimePoint now, Sink &&sink)
+    {
+        handleEvent(std::move(event), now);
+        flush(sink);
+    }
+
+    /// Does what time alone makes due: expiry of deadlines, recovery of limits. Call it at least every 50 ms.
+    template<CommandSink Sink>
+    void tick(base::TimePoint now, Sink &&sink)
+    {
+        advance(now);
+        flush(sink);
+    }
+
+    /// Table for lookups, replaced when document, members or drains change; null until a document is in effect.
+    std::shared_ptr<const routing::EntryTable> entryTable() const;
+
+    /// Issues key prefixes; may be copied to other threads.
+    const idempotency::KeyIssuer &keyIssuer() const;
+
+    base::Generation generation() const;
+    base::Generation drainGeneration() const;
+    EngineFigures figures() const;
+
+    /// True if this instance is drained by name, failure domain or region, or stopping.
+    bool leaving() const;
+
+    /// Second step of a planned stop: no keyed request begins here from now on.
+    void sealKeys();
+
+    /// Complete key table for a peer. Throws `idempotency::Error` unless sealed and no keyed request is in progress.
+    std::vector<idempotency::SealedPart> exportKeys(base::TimePoint now) const;
+
+    /// Takes a part of a stopped peer's key table.
+    idempotency::SealedTables::Import importKeys(const idempotency::SealedPart &part, base::TimePoint now);
+
+    /// True if every part of that peer's table is held.
+    bool holdsKeysOf(base::IncarnationId incarnation) const;
+
+private:
+    template<CommandSink Sink>
+    void flush(Sink &sink)
+    {
+        std::vector<Command> commands;
+        commands.swap(m_commands);
+        for (Command &command : commands) {
+            sink(std::move(command));
+        }
+    }
+
+    void handleEvent(Event event, base::TimePoint now);
+    void advance(base::TimePoint now);
+
+    void on(RequestArrived &event, base::TimePoint now);
+    void on(AttemptEnded &event, base::TimePoint now);
+    void on(CallerDisconnected &event, base::TimePoint now);
+    void on(LoadReported &event, base::TimePoint now);
+    void on(DrainsUpdated &event, base::TimePoint now);
+    void on(DocumentUpdated &event, base::TimePoint now);
+    void on(UpstreamListedLeaving &event, base::TimePoint now);
+    void on(ClaimEnded &event, base::TimePoint now);
+    void on(RelayEnded &event, base::TimePoint now);
+    void on(MembersUpdated &event, base::TimePoint now);
+    void on(StopRequested &event, base::TimePoint now);
+
+    // Keyed requests (keyed_requests.cpp).
+    void beginKeyed(HeldRequest &request, base::TimePoint now);
+    void relayToOwner(HeldRequest &request, base::IncarnationId owner, base::TimePoint now);
+    void settle(const idempotency::Ending &ending, RejectReason reason, base::TimePoint now);
+    void withdrawKey(HeldRequest &request, base::TimePoint now);
+
+    // Queue and attempts (attempts.cpp).
+    void admit(HeldRequest &request, base::TimePoint now);
+    void dispatch(ServiceState &service, base::TimePoint now);
+    bool startAttempt(ServiceState &service, const admission::StartedRequest &started, base::TimePoint now);
+    void sendAttempt(HeldRequest &request, bool resume, base::TimePoint now);
+    void endAttempt(HeldRequest &request, const AttemptEnded &event, base::TimePoint now);
+    void applyDecision(HeldRequest &request, retry::RetryDecision decision, const AttemptEnded &event, base::TimePoint now);
+    void truncate(HeldRequest &request, base::TimePoint now);
+    void requeue(HeldRequest &request);
+    void expireQueued(ServiceState &service, base::TimePoint now);
+    void expireWaiting(base::TimePoint now);
+
+    // Endings.
+    HeldRequest *find(base::RequestId id);
+    void rejectUnstarted(HeldRequest &request, RejectReason reason, base::TimePoint now);
+    void reject(HeldRequest &request, std::uint16_t status, Outcome outcome, RejectReason reason, base::TimePoint now);
+    void release(HeldRequest &request);
+
+    std::size_t slots(const ServiceState &service, base::TimePoint now) const;
+    void updateServices(base::TimePoint now);
+    void updateMembers(ServiceState &service);
+    void rebuildEntryTable();
+    bool isDrained(const EntryMember &member) const;
+
+    EngineOptions m_options;
+    base::SplitMix64 m_random;
+    std::vector<Command> m_commands; // in the order in which they were decided
+
+    std::shared_ptr<const document::SteeringDocument> m_document;
+    std::shared_ptr<const routing::BlockTable> m_blocks;
+    std::optional<routing::RouteTable> m_routes; // of m_document
+    base::Generation m_generation; // never decreases
+    base::Generation m_drainGeneration; // never decreases
+    std::vector<Drain> m_drains;
+    std::vector<EntryMember> m_members;
+    bool m_stopping = false;
+    std::shared_ptr<const routing::EntryTable> m_entryTable;
+
+    // Services of the document by name. A service that a new document drops stays until its last request has ended.
+    std::map<std::string, std::unique_ptr<ServiceState>, std::less<>> m_services;
+    // Each held request is in exactly one state; those in `Queued` are in their service's scheduler under the same id.
+    std::unordered_map<base::RequestId, HeldRequest> m_requests;
+    std::uint64_t m_lastAttempt = 0; // attempt IDs are never used twice
+
+    idempotency::KeyTable m_keys;
+    idempotency::SealedTables m_sealedKeys; // of stopped peers
+};
+
+} // namespace trefoilstile::engine
--- a/include/trefoilstile/engine/event.hpp
+++ b/include/trefoilstile/engine/event.hpp
@@ -12,6 +12,8 @@
 #include "trefoilstile/base/ip.hpp"
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/document/steering_document.hpp"
+#include "trefoilstile/idempotency/stored_response.hpp"
+#include "trefoilstile/routing/block_table.hpp"
 
 namespace trefoilstile::engine
 {
@@ -23,9 +25,11 @@
     std::string path; ///< without query
     std::string method;
     std::string idempotencyKey; ///< empty if the caller gave none
+    std::uint64_t fingerprint{}; ///< hash over method, target and body, see `idempotency::fingerprintOf`; needed with a key
+    std::optional<std::uint32_t> repeat; ///< the caller's number of this attempt with the key, from 0
     base::IpAddress client;
     std::optional<base::Duration> timeLeft; ///< the caller's deadline, from now
-    std::uint64_t bodyBytes {};
+    std::uint64_t bodyBytes{};
     bool relayed = false; ///< came from another entry instance; is not relayed again
 };
 
@@ -40,22 +44,17 @@
     ObjectChanged, ///< a resumption was rejected because the object has changed
 };
 
-/// Response kept so that a repeat with the same key gets the same one.
-struct StoredResponse {
-    std::uint16_t status {};
-    std::string contentType;
-    std::string body; ///< bounded by the embedder; see `truncated`
-    bool truncated = false; ///< the body was too large to keep; repeats get the status and an empty body
-};
+/// Response kept for repeats with the same key.
+using StoredResponse = idempotency::StoredResponse;
 
-/// A attempt has ended. Told once for each `Forward` command, whatever happened.
+/// An attempt has ended. Told once for each `Forward` command, whatever happened.
 struct AttemptEnded {
     base::RequestId id;
     base::AttemptId attemptId;
     AttemptResult result = AttemptResult::Failed;
-    base::Duration latency {}; ///< from the command to the first byte of the response, or to the end without one
-    std::uint64_t bytes {}; ///< body bytes moved both ways
-    std::uint16_t status {}; ///< HTTP status of the response; 0 if none
+    base::Duration latency{}; ///< from the command to the first byte of the response, or to the end without one
+    std::uint64_t bytes{}; ///< body bytes moved both ways
+    std::uint16_t status{}; ///< HTTP status of the response; 0 if none
     bool resumable = false; ///< for `Broken`: the rest can be asked for with `Range` and `If-Match`
     bool upstreamLeaving = false; ///< the response said that the upstream is leaving
     std::shared_ptr<const StoredResponse> response; ///< for keyed requests that were completed
@@ -74,9 +73,9 @@
     std::string upstream; ///< name in the document
     base::IncarnationId incarnation;
     UpstreamState state = UpstreamState::Live;
-    std::uint32_t slots {};
-    std::uint32_t busy {};
-    std::uint32_t queued {};
+    std::uint32_t slots{};
+    std::uint32_t busy{};
+    std::uint32_t queued{};
 };
 
 /// Kind of thing that a drain names.
@@ -100,6 +99,7 @@
 struct DocumentUpdated {
     base::Generation generation;
     std::shared_ptr<const document::SteeringDocument> document;
+    std::shared_ptr<const routing::BlockTable> blocks; ///< of the document; built by the sender, since that takes long for many blocks
 };
 
 /// Platform's lagging list says that an upstream is leaving. It never says that one is back.
--- /dev/null
+++ b/include/trefoilstile/engine/service_state.hpp
@@ -0,0 +1,40 @@
+// Decision state of one service at this instance.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "trefoilstile/admission/class_scheduler.hpp"
+#include "trefoilstile/document/steering_document.hpp"
+#include "trefoilstile/retry/retry_budget.hpp"
+#include "trefoilstile/retry/retry_policy.hpp"
+#include "trefoilstile/upstream/selection_policy.hpp"
+#include "trefoilstile/upstream/upstream_set.hpp"
+
+namespace trefoilstile::engine
+{
+
+/// Scheduler, upstreams and retry budget of one service. Its address is stable while requests refer to it.
+struct ServiceState {
+    ServiceState(std::string serviceName, const admission::SchedulerOptions &scheduling, const upstream::UpstreamSetConfig &upstreamConfig)
+        : name(std::move(serviceName))
+        , scheduler(scheduling)
+        , upstreams(upstreamConfig)
+    {
+    }
+
+    std::string name;
+    document::Service settings; ///< of the latest document that has the service, without upstreams and routes
+    bool present = true; ///< in the document in effect
+    std::size_t held = 0; ///< requests that refer to this state
+    admission::ClassScheduler scheduler;
+    upstream::UpstreamSet upstreams;
+    upstream::PowerOfTwoChoices selection;
+    retry::RetryBudget budget;
+    retry::RetryPolicy retryPolicy;
+    std::vector<upstream::DomainIndex> domains; ///< failure domains that may serve it, in order of preference
+};
+
+} // namespace trefoilstile::engine
--- a/include/trefoilstile/idempotency/issued_key.hpp
+++ b/include/trefoilstile/idempotency/issued_key.hpp
@@ -43,7 +43,7 @@
 /// started, so that the issuer can refuse keys so old that their record may have been forgotten.
 struct IssuedKey {
     base::IncarnationId incarnation;
-    std::uint64_t random {};
+    std::uint64_t random{};
     std::string_view suffix; ///< points into the parsed text
 
     /// Issue time in ticks since the start of the issuer.
--- a/include/trefoilstile/idempotency/key_record.hpp
+++ b/include/trefoilstile/idempotency/key_record.hpp
@@ -48,14 +48,14 @@
 /// Everything that is kept about one key.
 struct KeyRecord {
     KeyState state = KeyState::NotRun;
-    Fingerprint fingerprint {};
-    base::RequestId holder {}; ///< the request that may run; valid while in progress
-    std::optional<std::uint32_t> holderRepeat {};
-    std::optional<std::uint32_t> refusedUpTo {}; ///< highest repeat number that was told not-run
-    std::uint64_t claim {}; ///< number of the claim ID; 0 for issued keys
+    Fingerprint fingerprint{};
+    base::RequestId holder{}; ///< the request that may run; valid while in progress
+    std::optional<std::uint32_t> holderRepeat{};
+    std::optional<std::uint32_t> refusedUpTo{}; ///< highest repeat number that was told not-run
+    std::uint64_t claim{}; ///< number of the claim ID; 0 for issued keys
     bool claimWon = false; ///< the claim is ours; a repeat after not-run needs no second one
-    StoredResponsePointer response {}; ///< set in `Completed`
-    std::vector<Waiter> waiters {}; ///< in order of arrival; empty unless in progress
+    StoredResponsePointer response{}; ///< set in `Completed`
+    std::vector<Waiter> waiters{}; ///< in order of arrival; empty unless in progress
 };
 
 } // namespace trefoilstile::idempotency
--- a/include/trefoilstile/idempotency/key_table.hpp
+++ b/include/trefoilstile/idempotency/key_table.hpp
@@ -40,12 +40,12 @@
     base::Duration retention = std::chrono::minutes(15);
     /// Half of the 128 MB that the target size allows a node. With 765 bytes charged for a record with a body
     /// of 160 bytes (624 measured), 15 min carries 97 keyed requests/s at each instance; 24 h would carry 1.0/s.
-    std::size_t maximumBytes = std::size_t {64} << 20U;
+    std::size_t maximumBytes = std::size_t{64} << 20U;
     std::size_t maximumRecords = 120'000;
     /// Records out of `maximumRecords` kept for requests that were rejected when there was no room to run them.
     std::size_t refusalReserve = 10'000;
     /// Content type and body of a stored response, in bytes; a larger response is stored without its body.
-    std::size_t maximumStoredResponse = std::size_t {4} << 10U;
+    std::size_t maximumStoredResponse = std::size_t{4} << 10U;
     /// Requests that wait for one key. One caller has few copies under way; more are a fault or an attack.
     std::size_t maximumWaiters = 4;
 };
@@ -61,8 +61,8 @@
 
 /// What becomes of all requests of a key whose run ended.
 struct Ending {
-    std::vector<Told> told {}; ///< the holder unless it completed, then the waiters in order of arrival
-    StoredResponsePointer response {}; ///< for `Outcome::Replay`
+    std::vector<Told> told{}; ///< the holder unless it completed, then the waiters in order of arrival
+    StoredResponsePointer response{}; ///< for `Outcome::Replay`
 };
 
 /// What became of a request whose caller has gone or whose deadline passed while it waited.
@@ -122,6 +122,11 @@
     /// From now on no request begins. Permanent: it may be called only when the process is going to exit.
     void seal();
 
+    const KeyIssuer &issuer() const
+    {
+        return m_issuer;
+    }
+
     bool sealed() const
     {
         return m_sealed;
@@ -157,7 +162,7 @@
     };
     struct Entry {
         KeyRecord record;
-        std::size_t charged {}; ///< this entry's part of `m_bytes`
+        std::size_t charged{}; ///< this entry's part of `m_bytes`
         std::optional<std::list<Ended>::iterator> ended; ///< set exactly while the record is not in progress
     };
     struct KeyHash {
--- a/include/trefoilstile/idempotency/sealed_tables.hpp
+++ b/include/trefoilstile/idempotency/sealed_tables.hpp
@@ -18,7 +18,7 @@
 {
 
 /// Size of one exported part in bytes, well below the limit of 1 MiB for a frame between peers.
-inline constexpr std::size_t s_sealedPartBytes = std::size_t {256} << 10U;
+inline constexpr std::size_t s_sealedPartBytes = std::size_t{256} << 10U;
 
 /// Memory charged for one record apart from its key and its response: the node of the table, its place in the order of
 /// endings, waiters, and allocator overhead.
@@ -43,9 +43,9 @@
 
 struct BeginResult {
     KeyDecision decision = KeyDecision::Unknown;
-    StoredResponsePointer response {}; ///< for `Replay`
-    base::IncarnationId owner {}; ///< for `NotOwner`
-    std::string claimId {}; ///< for `NeedsClaim`; the value to write to the row, by which a lost response is resolved
+    StoredResponsePointer response{}; ///< for `Replay`
+    base::IncarnationId owner{}; ///< for `NotOwner`
+    std::string claimId{}; ///< for `NeedsClaim`; the value to write to the row, by which a lost response is resolved
     bool provedNotRun = false; ///< for `Full`
 };
 
@@ -59,16 +59,16 @@
 
 /// Part of the complete record of a stopped instance.
 struct SealedPart {
-    base::IncarnationId incarnation {};
-    std::uint32_t part {}; ///< 0 to `parts` - 1
+    base::IncarnationId incarnation{};
+    std::uint32_t part{}; ///< 0 to `parts` - 1
     std::uint32_t parts = 1;
-    std::uint32_t oldestRunnableTick {}; ///< keys issued before may have run and been forgotten
-    std::vector<SealedEntry> entries {};
+    std::uint32_t oldestRunnableTick{}; ///< keys issued before may have run and been forgotten
+    std::vector<SealedEntry> entries{};
 };
 
 struct SealedTablesOptions {
     base::Duration retention = std::chrono::minutes(15); ///< as long as the issuer would have kept its records
-    std::size_t maximumBytes = std::size_t {32} << 20U; ///< of all tables held
+    std::size_t maximumBytes = std::size_t{32} << 20U; ///< of all tables held
     std::uint32_t maximumParts = 1024; ///< of one table; bounds what a peer can announce
 };
 
@@ -96,11 +96,11 @@
 
 private:
     struct Table {
-        std::uint32_t parts {};
-        std::uint32_t oldestRunnableTick {};
+        std::uint32_t parts{};
+        std::uint32_t oldestRunnableTick{};
         std::vector<bool> present;
         std::unordered_map<std::string, SealedEntry> entries;
-        std::size_t bytes {};
+        std::size_t bytes{};
         base::TimePoint firstPart;
 
         bool isComplete() const;
--- a/include/trefoilstile/idempotency/stored_response.hpp
+++ b/include/trefoilstile/idempotency/stored_response.hpp
@@ -10,7 +10,7 @@
 
 /// Response kept so that a repeat with the same key gets the same one.
 struct StoredResponse {
-    std::uint16_t status {};
+    std::uint16_t status{};
     std::string contentType;
     std::string body; ///< bounded by the embedder; see `truncated`
     bool truncated = false; ///< the body was too large to keep; repeats get the status and an empty body
--- a/include/trefoilstile/metrics/latency_histogram.hpp
+++ b/include/trefoilstile/metrics/latency_histogram.hpp
@@ -18,7 +18,7 @@
 {
 
 /// Upper bounds of the buckets in seconds, ascending; samples above the last one are in a further bucket.
-inline constexpr std::array<double, 15> s_bucketBounds {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
+inline constexpr std::array<double, 15> s_bucketBounds{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
 
 /// Counts by bucket; the last one holds samples above all bounds.
 using BucketCounts = std::array<std::uint64_t, s_bucketBounds.size() + 1>;
@@ -51,7 +51,7 @@
     }
 
 private:
-    BucketCounts m_counts {};
+    BucketCounts m_counts{};
 };
 
 struct BucketTag : boost::accumulators::depends_on<> {
--- a/include/trefoilstile/retry/retry_policy.hpp
+++ b/include/trefoilstile/retry/retry_policy.hpp
@@ -35,12 +35,12 @@
 struct AttemptHistory {
     bool idempotent = false;
     std::uint32_t attempts = 1; ///< started so far, the one that has ended included, resumptions excluded
-    std::uint32_t resumptions {}; ///< started so far
+    std::uint32_t resumptions{}; ///< started so far
     bool mayHaveRun = false; ///< an earlier attempt ended without proof that it did not run
     bool responseStarted = false; ///< a byte of the response has been passed on
     bool resumable = false; ///< the response has what a resumption needs
-    base::Duration deadlineLeft {}; ///< until the first byte of the response is due
-    base::Duration leastUseful {}; ///< an attempt with less time left would hardly respond in time
+    base::Duration deadlineLeft{}; ///< until the first byte of the response is due
+    base::Duration leastUseful{}; ///< an attempt with less time left would hardly respond in time
 };
 
 /// True if the result proves that the attempt did not run.
--- a/include/trefoilstile/routing/route_table.hpp
+++ b/include/trefoilstile/routing/route_table.hpp
@@ -14,8 +14,8 @@
 
 /// Place of a route in the document.
 struct RouteMatch {
-    std::size_t service {}; ///< index into `SteeringDocument::services`
-    std::size_t route {}; ///< index into `Service::routes`
+    std::size_t service{}; ///< index into `SteeringDocument::services`
+    std::size_t route{}; ///< index into `Service::routes`
 };
 
 /// True if the path has one reading only: it starts with `/` and has no empty or dot segments, no percent-encoded
--- a/include/trefoilstile/upstream/concurrency_limit.hpp
+++ b/include/trefoilstile/upstream/concurrency_limit.hpp
@@ -81,7 +81,7 @@
     std::optional<base::TimePoint> m_reducedAt;
     std::optional<base::TimePoint> m_observedAt;
     std::optional<base::TimePoint> m_rampStart;
-    base::Duration m_warmUp {};
+    base::Duration m_warmUp{};
 };
 
 /// Ceiling of each instance for an upstream, so that all instances together stay within its connections.
--- a/include/trefoilstile/upstream/leaving_state.hpp
+++ b/include/trefoilstile/upstream/leaving_state.hpp
@@ -46,7 +46,7 @@
 
     struct Ring {
         std::array<std::optional<base::IncarnationId>, s_rememberedIncarnations> items;
-        std::size_t nextIndex {};
+        std::size_t nextIndex{};
 
         void add(base::IncarnationId incarnation);
         bool contains(base::IncarnationId incarnation) const;
--- a/include/trefoilstile/upstream/selection_policy.hpp
+++ b/include/trefoilstile/upstream/selection_policy.hpp
@@ -14,12 +14,12 @@
 
 /// One upstream with a free unit of concurrency.
 struct Candidate {
-    std::size_t index {}; ///< in the set
-    std::uint32_t inFlight {}; ///< attempts of this instance
-    std::uint32_t allowed {}; ///< more than `inFlight`, except for a request beyond the limit
+    std::size_t index{}; ///< in the set
+    std::uint32_t inFlight{}; ///< attempts of this instance
+    std::uint32_t allowed{}; ///< more than `inFlight`, except for a request beyond the limit
     double weight = 1.0; ///< static weight, lowered by failures and the ramp; positive
-    double reportedLoad {}; ///< busy and queued requests per slot
-    double reportWeight {}; ///< 0 to 1
+    double reportedLoad{}; ///< busy and queued requests per slot
+    double reportWeight{}; ///< 0 to 1
 };
 
 /// Chooses one of the candidates (never empty) and returns its position in the span.
--- a/include/trefoilstile/upstream/upstream_health.hpp
+++ b/include/trefoilstile/upstream/upstream_health.hpp
@@ -102,11 +102,11 @@
     }
 
     HealthOptions m_options;
-    double m_attempts {}; // decayed; m_failures <= m_attempts
-    double m_failures {};
+    double m_attempts{}; // decayed; m_failures <= m_attempts
+    double m_failures{};
     base::TimePoint m_decayedAt;
-    std::uint32_t m_consecutiveFailures {};
-    std::uint32_t m_connectFailures {};
+    std::uint32_t m_consecutiveFailures{};
+    std::uint32_t m_connectFailures{};
     bool m_ejected = false;
     bool m_returned = false;
     base::TimePoint m_probeAt;
@@ -116,7 +116,7 @@
     base::TimePoint m_reportedAt;
     base::TimePoint m_changedAt; // of the last report that differed from the one before; <= m_reportedAt
     bool m_startedSinceChange = false;
-    std::uint32_t m_successesSinceReport {};
+    std::uint32_t m_successesSinceReport{};
 };
 
 } // namespace trefoilstile::upstream
--- a/include/trefoilstile/upstream/upstream_set.hpp
+++ b/include/trefoilstile/upstream/upstream_set.hpp
@@ -77,7 +77,7 @@
 
 /// One unit of an upstream's concurrency, held until `finished`.
 struct Choice {
-    std::size_t index {}; ///< of the upstream; stable while the unit is held
+    std::size_t index{}; ///< of the upstream; stable while the unit is held
     bool probe = false; ///< tests an ejected upstream
     std::optional<base::IncarnationId> incarnation; ///< that the upstream was known to have at the choice
 };
@@ -85,7 +85,7 @@
 /// How the attempt of a choice ended.
 struct AttemptReport {
     engine::AttemptResult result = engine::AttemptResult::Completed;
-    base::Duration latency {}; ///< to the first byte of the response, or to the end without one
+    base::Duration latency{}; ///< to the first byte of the response, or to the end without one
     bool upstreamLeaving = false; ///< the response said that the upstream is leaving
     bool abandoned = false; ///< ended by the caller or this instance; says nothing about the upstream
 };
@@ -183,12 +183,12 @@
 private:
     struct Member {
         UpstreamSetConfig::Entry entry;
-        DomainIndex domain {};
-        std::uint32_t part {}; // own part of the slots; 0 if the upstream is in another region
+        DomainIndex domain{};
+        std::uint32_t part{}; // own part of the slots; 0 if the upstream is in another region
         std::uint32_t sharers = 1; // instances that idle slots are divided between
         bool present = true; // false: removed from the document, kept until inFlight is 0
         bool unused = false; // the index is free for another upstream; implies !present and inFlight == 0
-        std::uint32_t inFlight {}; // <= limit.ceiling()
+        std::uint32_t inFlight{}; // <= limit.ceiling()
         ConcurrencyLimit limit;
         UpstreamHealth health;
         LeavingState leaving;
--- a/src/admission/class_scheduler.cpp
+++ b/src/admission/class_scheduler.cpp
@@ -144,7 +144,7 @@
 
 std::size_t ClassScheduler::running() const
 {
-    return std::accumulate(m_running.values.begin(), m_running.values.end(), std::size_t {});
+    return std::accumulate(m_running.values.begin(), m_running.values.end(), std::size_t{});
 }
 
 double ClassScheduler::guarantee(base::PriorityClass priorityClass, std::size_t slots) const
@@ -215,13 +215,13 @@
     if (running() >= slots) {
         if (m_options.urgentBeyondSlots && slots > 0 && m_running[base::PriorityClass::Urgent] == 0
             && m_options.classes[base::PriorityClass::Urgent].minimumShare > 0.0 && running() <= slots) {
-            result[count++] = Turn {base::PriorityClass::Urgent, false, true};
+            result[count++] = Turn{base::PriorityClass::Urgent, false, true};
         }
         return result;
     }
     for (const base::PriorityClass priorityClass : base::s_priorityClasses) {
         if (!m_queues[priorityClass].empty() && entitled(priorityClass, slots)) {
-            result[count++] = Turn {priorityClass, false, false};
+            result[count++] = Turn{priorityClass, false, false};
         }
     }
     std::array<base::PriorityClass, base::s_priorityClassCount> borrowers = base::s_priorityClasses;
@@ -233,7 +233,7 @@
     });
     for (const base::PriorityClass priorityClass : borrowers) {
         if (!m_queues[priorityClass].empty() && !entitled(priorityClass, slots) && mayBorrow(priorityClass, slots)) {
-            result[count++] = Turn {priorityClass, true, false};
+            result[count++] = Turn{priorityClass, true, false};
         }
     }
     return result;
--- a/src/base/ids_test.cpp
+++ b/src/base/ids_test.cpp
@@ -11,7 +11,7 @@
 
 RC_BOOST_PROP(hexRoundTrips, (std::uint64_t value))
 {
-    RC_ASSERT(incarnationFromHex(toHex(IncarnationId {value})) == IncarnationId {value});
+    RC_ASSERT(incarnationFromHex(toHex(IncarnationId{value})) == IncarnationId{value});
 }
 
 BOOST_AUTO_TEST_CASE(refusesOtherText)
--- a/src/base/ip.cpp
+++ b/src/base/ip.cpp
@@ -48,13 +48,13 @@
 std::optional<IpAddress> parseIpAddress(std::string_view text)
 {
     const std::string terminated(text);
-    in_addr v4 {};
+    in_addr v4{};
     if (inet_pton(AF_INET, terminated.c_str(), &v4) == 1) {
-        return IpAddress {0, s_v4Prefix | ntohl(v4.s_addr)};
+        return IpAddress{0, s_v4Prefix | ntohl(v4.s_addr)};
     }
-    std::array<std::uint8_t, 16> bytes {};
+    std::array<std::uint8_t, 16> bytes{};
     if (inet_pton(AF_INET6, terminated.c_str(), bytes.data()) == 1) {
-        return IpAddress {readBigEndian(bytes.data()), readBigEndian(bytes.data() + 8)};
+        return IpAddress{readBigEndian(bytes.data()), readBigEndian(bytes.data() + 8)};
     }
     return std::nullopt;
 }
@@ -80,19 +80,19 @@
     if (masked(*address, length) != *address) {
         return std::nullopt;
     }
-    return IpBlock {*address, static_cast<std::uint8_t>(length)};
+    return IpBlock{*address, static_cast<std::uint8_t>(length)};
 }
 
 std::string toString(const IpAddress &address)
 {
-    std::array<char, INET6_ADDRSTRLEN> text {};
+    std::array<char, INET6_ADDRSTRLEN> text{};
     if (address.isV4()) {
-        in_addr v4 {};
+        in_addr v4{};
         v4.s_addr = htonl(static_cast<std::uint32_t>(address.low));
         inet_ntop(AF_INET, &v4, text.data(), text.size());
         return text.data();
     }
-    std::array<std::uint8_t, 16> bytes {};
+    std::array<std::uint8_t, 16> bytes{};
     for (unsigned i = 0; i < 8; ++i) {
         bytes[i] = static_cast<std::uint8_t>(address.high >> (56U - 8U * i));
         bytes[8 + i] = static_cast<std::uint8_t>(address.low >> (56U - 8U * i));
--- a/src/base/ip_test.cpp
+++ b/src/base/ip_test.cpp
@@ -27,8 +27,8 @@
 RC_BOOST_PROP(blockContainsExactlyItsPrefix, (std::uint32_t bits, std::uint8_t rawLength))
 {
     const unsigned length = rawLength % 33U;
-    const IpAddress address {0, 0x0000ffff00000000ULL | bits};
-    const IpBlock block {masked(address, 96 + length), static_cast<std::uint8_t>(96 + length)};
+    const IpAddress address{0, 0x0000ffff00000000ULL | bits};
+    const IpBlock block{masked(address, 96 + length), static_cast<std::uint8_t>(96 + length)};
     RC_ASSERT(block.contains(address));
     RC_ASSERT(parseIpBlock(toString(block.first) + "/" + std::to_string(length)) == block);
     if (length > 0) {
--- a/src/document/content_hash.cpp
+++ b/src/document/content_hash.cpp
@@ -13,7 +13,7 @@
 
 std::string contentHash(std::string_view bytes)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned length = 0;
     if (EVP_Digest(bytes.data(), bytes.size(), digest.data(), &length, EVP_sha256(), nullptr) != 1) {
         throw base::Error("SHA-256 is not available");
--- a/src/document/field_reader.cpp
+++ b/src/document/field_reader.cpp
@@ -59,7 +59,7 @@
 
 Field MapReader::optional(std::string_view name)
 {
-    Field found {nullptr, joined(m_field.path, name)};
+    Field found{nullptr, joined(m_field.path, name)};
     if (!m_field) {
         return found;
     }
--- a/src/document/parse.cpp
+++ b/src/document/parse.cpp
@@ -16,10 +16,10 @@
 namespace
 {
 
-constexpr NumberRange s_positive {s_smallestPositive};
-constexpr NumberRange s_share {0, 1};
-constexpr NumberRange s_timeoutMs {1, 3'600'000}; // up to one hour
-constexpr NumberRange s_ttlMs {100, 86'400'000}; // below 100 ms callers would look up for each request
+constexpr NumberRange s_positive{s_smallestPositive};
+constexpr NumberRange s_share{0, 1};
+constexpr NumberRange s_timeoutMs{1, 3'600'000}; // up to one hour
+constexpr NumberRange s_ttlMs{100, 86'400'000}; // below 100 ms callers would look up for each request
 
 void readFailureDomains(Region &region, const Field &list, FaultList &faults)
 {
--- a/src/document/yaml_tree.cpp
+++ b/src/document/yaml_tree.cpp
@@ -31,7 +31,7 @@
 
 [[noreturn]] void fail(const YAML::Mark &mark, std::string message)
 {
-    throw DocumentError({Fault {"", mark.line + 1, std::move(message)}});
+    throw DocumentError({Fault{"", mark.line + 1, std::move(message)}});
 }
 
 class TreeBuilder : public YAML::EventHandler
@@ -141,7 +141,7 @@
 YamlNode parseYaml(std::string_view text)
 {
     if (text.size() > s_maximumDocumentBytes) {
-        throw DocumentError({Fault {"", 0, fmt::format("the document has {} bytes, at most {} are allowed", text.size(), s_maximumDocumentBytes)}});
+        throw DocumentError({Fault{"", 0, fmt::format("the document has {} bytes, at most {} are allowed", text.size(), s_maximumDocumentBytes)}});
     }
     ViewBuffer buffer(text);
     std::istream stream(&buffer);
@@ -149,16 +149,16 @@
     try {
         YAML::Parser parser(stream);
         if (!parser.HandleNextDocument(builder)) {
-            throw DocumentError({Fault {"", 1, "the document is empty"}});
+            throw DocumentError({Fault{"", 1, "the document is empty"}});
         }
         YamlNode root = builder.takeRoot();
         TreeBuilder second;
         if (parser.HandleNextDocument(second)) {
-            throw DocumentError({Fault {"", 0, "the text holds more than one document"}});
+            throw DocumentError({Fault{"", 0, "the text holds more than one document"}});
         }
         return root;
     } catch (const YAML::Exception &error) {
-        throw DocumentError({Fault {"", error.mark.line + 1, "malformed text: " + error.msg}});
+        throw DocumentError({Fault{"", error.mark.line + 1, "malformed text: " + error.msg}});
     }
 }
 
--- a/src/document/yaml_tree.hpp
+++ b/src/document/yaml_tree.hpp
@@ -16,7 +16,7 @@
 /// One node of the tree. `keys[i]` names `children[i]` in maps; sequences have no keys.
 struct YamlNode {
     YamlKind kind = YamlKind::Null;
-    int line {}; ///< 1 is the first line
+    int line{}; ///< 1 is the first line
     std::string scalar;
     std::vector<YamlNode> children;
     std::vector<std::string> keys;
--- /dev/null
+++ b/src/engine/keyed_requests.cpp
@@ -0,0 +1,155 @@
+// Requests with an idempotency key: claims, relays to the issuer, waiting for and passing on outcomes.
+
+#include <algorithm>
+
+#include "trefoilstile/engine/engine.hpp"
+
+namespace trefoilstile::engine
+{
+
+using idempotency::BeginResult;
+using idempotency::Fingerprint;
+using idempotency::KeyDecision;
+
+void Engine::beginKeyed(HeldRequest &request, base::TimePoint now)
+{
+    const Fingerprint fingerprint{request.fingerprint};
+    std::optional<BeginResult> sealed = m_sealedKeys.answer(request.key, fingerprint, now);
+    const BeginResult result = sealed ? *sealed : m_keys.begin(request.key, fingerprint, request.id, now, request.repeat);
+    switch (result.decision) {
+    case KeyDecision::Run:
+        admit(request, now);
+        return;
+    case KeyDecision::NeedsClaim:
+        request.stage = RequestStage::Claiming;
+        m_commands.emplace_back(ClaimKey{request.id, request.key, result.claimId, std::min(m_options.claimTimeout, request.deadline - now)});
+        return;
+    case KeyDecision::Wait:
+        request.stage = RequestStage::Waiting;
+        return;
+    case KeyDecision::Replay:
+        m_commands.emplace_back(Replay{request.id, result.response});
+        release(request);
+        return;
+    case KeyDecision::NotRun:
+        reject(request, 503, Outcome::NotRun, m_keys.sealed() ? RejectReason::Stopping : RejectReason::UpstreamFailed, now);
+        return;
+    case KeyDecision::Unknown:
+        reject(request, 502, Outcome::Unknown, RejectReason::OutcomeLost, now);
+        return;
+    case KeyDecision::Full:
+        reject(request, 503, result.provedNotRun ? Outcome::NotRun : Outcome::Unknown, RejectReason::RecordsFull, now);
+        return;
+    case KeyDecision::TooManyWaiters:
+        reject(request, 503, Outcome::Unknown, RejectReason::RecordsFull, now);
+        return;
+    case KeyDecision::NotOwner:
+        relayToOwner(request, result.owner, now);
+        return;
+    case KeyDecision::Mismatch:
+        // Says nothing about the request that has the key, so `not-run` could be misread.
+        reject(request, 422, Outcome::Unknown, RejectReason::KeyMismatch, now);
+        return;
+    case KeyDecision::Invalid:
+        reject(request, 400, Outcome::NotRun, RejectReason::KeyInvalid, now);
+        return;
+    }
+}
+
+void Engine::relayToOwner(HeldRequest &request, base::IncarnationId owner, base::TimePoint now)
+{
+    const auto member = std::find_if(m_members.begin(), m_members.end(), [owner](const EntryMember &candidate) {
+        return candidate.incarnation == owner;
+    });
+    request.key.clear(); // the key table does not hold it
+    if (request.relayed || member == m_members.end() || !member->alive || request.deadline <= now) {
+        reject(request, 503, Outcome::Unknown, RejectReason::IssuerUnreachable, now);
+        return;
+    }
+    request.stage = RequestStage::Relaying;
+    m_commands.emplace_back(Relay{request.id, member->callerAddress, request.deadline - now});
+}
+
+void Engine::on(RelayEnded &event, base::TimePoint now)
+{
+    HeldRequest *request = find(event.id);
+    if (request == nullptr || request->stage != RequestStage::Relaying) {
+        return;
+    }
+    if (event.responded) {
+        release(*request);
+        return;
+    }
+    reject(*request, 503, Outcome::Unknown, RejectReason::IssuerUnreachable, now);
+}
+
+void Engine::on(ClaimEnded &event, base::TimePoint now)
+{
+    HeldRequest *request = find(event.id);
+    if (request == nullptr || request->stage != RequestStage::Claiming) {
+        return;
+    }
+    switch (event.result) {
+    case ClaimResult::Won:
+        m_keys.claimWon(request->key, request->id);
+        if (request->callerGone || request->deadline <= now) {
+            settle(m_keys.expire(request->key, request->id, now), RejectReason::DeadlinePassed, now);
+            return;
+        }
+        admit(*request, now);
+        return;
+    case ClaimResult::Taken:
+        settle(m_keys.claimTaken(request->key, request->id, now), RejectReason::ClaimTaken, now);
+        return;
+    case ClaimResult::Unavailable:
+        settle(m_keys.claimUnavailable(request->key, request->id, now), RejectReason::ClaimUnavailable, now);
+        return;
+    }
+}
+
+void Engine::settle(const idempotency::Ending &ending, RejectReason reason, base::TimePoint now)
+{
+    const std::uint16_t status = reason == RejectReason::DeadlinePassed ? 504 : reason == RejectReason::UpstreamFailed ? 502 : 503;
+    for (const idempotency::Told &told : ending.told) {
+        HeldRequest *request = find(told.id);
+        if (request == nullptr) {
+            continue;
+        }
+        if (told.outcome == idempotency::Outcome::Replay) {
+            m_commands.emplace_back(Replay{told.id, ending.response});
+            release(*request);
+            continue;
+        }
+        reject(*request, status, told.outcome == idempotency::Outcome::NotRun ? Outcome::NotRun : Outcome::Unknown, reason, now);
+    }
+}
+
+void Engine::withdrawKey(HeldRequest &request, base::TimePoint now)
+{
+    const idempotency::Withdrawn withdrawn = m_keys.withdraw(request.key, request.id, now);
+    if (withdrawn.kind == idempotency::Withdrawal::HandedOver) {
+        if (HeldRequest *next = find(*withdrawn.next)) {
+            admit(*next, now);
+        }
+    }
+}
+
+void Engine::expireWaiting(base::TimePoint now)
+{
+    std::vector<base::RequestId> expired;
+    for (const auto &[id, request] : m_requests) {
+        if (request.stage == RequestStage::Waiting && request.deadline <= now) {
+            expired.push_back(id);
+        }
+    }
+    std::sort(expired.begin(), expired.end()); // the same order on every run
+    for (const base::RequestId id : expired) {
+        HeldRequest *request = find(id);
+        if (request != nullptr && request->stage == RequestStage::Waiting) {
+            withdrawKey(*request, now);
+            reject(*request, 504, Outcome::Unknown, RejectReason::DeadlinePassed, now);
+        }
+    }
+}
+
+} // namespace trefoilstile::engine
--- a/src/idempotency/issued_key.cpp
+++ b/src/idempotency/issued_key.cpp
@@ -32,7 +32,7 @@
 Fingerprint fingerprintOf(std::string_view method, std::string_view target, std::string_view body)
 {
     // The seed of each part is the hash of the part before it, so that the borders between the parts count.
-    return Fingerprint {base::stableHash(body, base::stableHash(target, base::stableHash(method)))};
+    return Fingerprint{base::stableHash(body, base::stableHash(target, base::stableHash(method)))};
 }
 
 KeyKind keyKind(std::string_view key)
@@ -60,7 +60,7 @@
     if (!incarnation || !random || !separated || !std::all_of(suffix.begin(), suffix.end(), isSuffixCharacter)) {
         return std::nullopt;
     }
-    return IssuedKey {*incarnation, random->value, suffix};
+    return IssuedKey{*incarnation, random->value, suffix};
 }
 
 KeyIssuer::KeyIssuer(base::IncarnationId incarnation, base::TimePoint startedAt)
--- a/src/idempotency/issued_key_test.cpp
+++ b/src/idempotency/issued_key_test.cpp
@@ -12,12 +12,12 @@
 
 RC_BOOST_PROP(prefixRoundTrips, (std::uint64_t incarnation, std::uint64_t bits, std::uint16_t minutes))
 {
-    const base::TimePoint start {std::chrono::hours(5)};
+    const base::TimePoint start{std::chrono::hours(5)};
     const KeyIssuer issuer({incarnation}, start);
     const std::string key = issuer.prefixFor(start + std::chrono::minutes(minutes) + std::chrono::seconds(59), bits) + "order-7_A";
     const auto parsed = IssuedKey::parse(key);
     RC_ASSERT(parsed.has_value());
-    RC_ASSERT(parsed->incarnation == base::IncarnationId {incarnation});
+    RC_ASSERT(parsed->incarnation == base::IncarnationId{incarnation});
     RC_ASSERT(parsed->issueTick() == minutes);
     RC_ASSERT(parsed->suffix == "order-7_A");
     RC_ASSERT(keyKind(key) == KeyKind::Issued);
--- a/src/idempotency/key_record.cpp
+++ b/src/idempotency/key_record.cpp
@@ -13,7 +13,7 @@
 
 std::string_view toString(KeyState state)
 {
-    constexpr std::array<std::string_view, 6> names {"not-run", "claiming", "queued", "sent", "completed", "unknown"};
+    constexpr std::array<std::string_view, 6> names{"not-run", "claiming", "queued", "sent", "completed", "unknown"};
     return names[static_cast<std::size_t>(state)];
 }
 
--- a/src/idempotency/key_table.cpp
+++ b/src/idempotency/key_table.cpp
@@ -26,7 +26,7 @@
 KeyTable::KeyTable(KeyIssuer issuer, KeyTableOptions options)
     : m_issuer(issuer)
     , m_options(options)
-    , m_entries(0, KeyHash {base::mixBits(issuer.incarnation().value)})
+    , m_entries(0, KeyHash{base::mixBits(issuer.incarnation().value)})
 {
     if (m_options.keyLifetime <= base::Duration::zero() || m_options.retention < m_options.keyLifetime + s_roundingTicks * s_issueTick) {
         throw Error("retention must exceed the key lifetime by at least 4 min");
@@ -60,7 +60,7 @@
             return {.decision = KeyDecision::NotOwner, .owner = owner};
         }
     }
-    const KeyRecord request {.fingerprint = fingerprint, .holder = id, .holderRepeat = repeat};
+    const KeyRecord request{.fingerprint = fingerprint, .holder = id, .holderRepeat = repeat};
     if (const auto found = m_entries.find(key); found != m_entries.end()) {
         return beginKnown(*found, request, kind);
     }
@@ -187,8 +187,8 @@
     if (!m_sealed || m_inProgress != 0) {
         throw Error(fmt::format("key table cannot be exported: {}, {} requests in progress", m_sealed ? "sealed" : "not sealed", m_inProgress));
     }
-    const SealedPart empty {.incarnation = m_issuer.incarnation(), .oldestRunnableTick = oldestRunnableTick(now)};
-    std::vector<SealedPart> parts {empty};
+    const SealedPart empty{.incarnation = m_issuer.incarnation(), .oldestRunnableTick = oldestRunnableTick(now)};
+    std::vector<SealedPart> parts{empty};
     std::size_t bytes = 0;
     for (const auto &[key, entry] : m_entries) {
         if (entry.record.state == KeyState::NotRun) {
--- a/src/idempotency/key_table_test.cpp
+++ b/src/idempotency/key_table_test.cpp
@@ -13,18 +13,18 @@
 
 namespace
 {
-constexpr base::TimePoint s_start {};
-constexpr Fingerprint s_print {7};
+constexpr base::TimePoint s_start{};
+constexpr Fingerprint s_print{7};
 
 struct Fixture {
-    KeyIssuer issuer {{0xabc}, s_start};
-    KeyTable table {issuer};
+    KeyIssuer issuer{{0xabc}, s_start};
+    KeyTable table{issuer};
     std::string key = issuer.prefixFor(s_start, 1) + "a";
-    StoredResponsePointer response = std::make_shared<StoredResponse>(StoredResponse {201, "application/json", "{}"});
+    StoredResponsePointer response = std::make_shared<StoredResponse>(StoredResponse{201, "application/json", "{}"});
 
     KeyDecision begin(std::string_view text, std::uint64_t id, base::TimePoint now = s_start, std::optional<std::uint32_t> repeat = {})
     {
-        return table.begin(text, s_print, RequestId {id}, now, repeat).decision;
+        return table.begin(text, s_print, RequestId{id}, now, repeat).decision;
     }
 };
 } // namespace
@@ -35,15 +35,15 @@
 BOOST_AUTO_TEST_CASE(senderAndExpiryCannotBothWin)
 {
     BOOST_TEST((begin(key, 1) == KeyDecision::Run));
-    table.expire(key, RequestId {1}, s_start);
-    BOOST_CHECK_THROW(table.markSent(key, RequestId {1}), Error);
+    table.expire(key, RequestId{1}, s_start);
+    BOOST_CHECK_THROW(table.markSent(key, RequestId{1}), Error);
     BOOST_TEST((begin(key, 2) == KeyDecision::Run));
-    BOOST_CHECK_THROW(table.markSent(key, RequestId {1}), Error); // request 2 holds the key now
-    table.markSent(key, RequestId {2});
-    BOOST_CHECK_THROW(table.expire(key, RequestId {2}, s_start), Error);
-    BOOST_CHECK_THROW(table.markSent(key, RequestId {2}), Error);
-    table.loseOutcome(key, RequestId {2}, s_start);
-    BOOST_CHECK_THROW(table.proveNotRun(key, RequestId {2}, s_start), Error);
+    BOOST_CHECK_THROW(table.markSent(key, RequestId{1}), Error); // request 2 holds the key now
+    table.markSent(key, RequestId{2});
+    BOOST_CHECK_THROW(table.expire(key, RequestId{2}, s_start), Error);
+    BOOST_CHECK_THROW(table.markSent(key, RequestId{2}), Error);
+    table.loseOutcome(key, RequestId{2}, s_start);
+    BOOST_CHECK_THROW(table.proveNotRun(key, RequestId{2}, s_start), Error);
     BOOST_TEST((begin(key, 3) == KeyDecision::Unknown));
 }
 
@@ -54,14 +54,14 @@
         BOOST_TEST((begin(key, id) == KeyDecision::Wait));
     }
     BOOST_TEST((begin(key, 6) == KeyDecision::TooManyWaiters));
-    BOOST_TEST((table.withdraw(key, RequestId {3}, s_start).kind == Withdrawal::WaiterRemoved));
-    table.markSent(key, RequestId {1});
-    BOOST_TEST((table.withdraw(key, RequestId {1}, s_start).kind == Withdrawal::Continues));
-    const Ending ending = table.complete(key, RequestId {1}, response, s_start);
+    BOOST_TEST((table.withdraw(key, RequestId{3}, s_start).kind == Withdrawal::WaiterRemoved));
+    table.markSent(key, RequestId{1});
+    BOOST_TEST((table.withdraw(key, RequestId{1}, s_start).kind == Withdrawal::Continues));
+    const Ending ending = table.complete(key, RequestId{1}, response, s_start);
     BOOST_TEST(ending.told.size() == 3U);
     BOOST_TEST((ending.told.front().outcome == Outcome::Replay && ending.response == response));
-    BOOST_TEST((table.begin(key, s_print, RequestId {7}, s_start).response == response));
-    BOOST_TEST((table.begin(key, Fingerprint {8}, RequestId {8}, s_start).decision == KeyDecision::Mismatch));
+    BOOST_TEST((table.begin(key, s_print, RequestId{7}, s_start).response == response));
+    BOOST_TEST((table.begin(key, Fingerprint{8}, RequestId{8}, s_start).decision == KeyDecision::Mismatch));
 }
 
 // Guards against a repeat that is told not-run only because its first connection broke.
@@ -69,11 +69,11 @@
 {
     begin(key, 1);
     begin(key, 2);
-    const Withdrawn withdrawn = table.withdraw(key, RequestId {1}, s_start);
-    BOOST_TEST((withdrawn.kind == Withdrawal::HandedOver && withdrawn.next == RequestId {2}));
-    BOOST_CHECK_THROW(table.markSent(key, RequestId {1}), Error);
-    table.markSent(key, RequestId {2});
-    table.proveNotRun(key, RequestId {2}, s_start);
+    const Withdrawn withdrawn = table.withdraw(key, RequestId{1}, s_start);
+    BOOST_TEST((withdrawn.kind == Withdrawal::HandedOver && withdrawn.next == RequestId{2}));
+    BOOST_CHECK_THROW(table.markSent(key, RequestId{1}), Error);
+    table.markSent(key, RequestId{2});
+    table.proveNotRun(key, RequestId{2}, s_start);
     BOOST_TEST(table.size() == 0U);
     BOOST_TEST(table.bytes() == 0U);
 }
@@ -83,7 +83,7 @@
 {
     BOOST_TEST((begin(key, 1, s_start, 3) == KeyDecision::Run));
     BOOST_TEST((begin(key, 2, s_start, 4) == KeyDecision::Wait));
-    BOOST_TEST(table.expire(key, RequestId {1}, s_start).told.size() == 2U);
+    BOOST_TEST(table.expire(key, RequestId{1}, s_start).told.size() == 2U);
     BOOST_TEST((begin(key, 3, s_start, 4) == KeyDecision::NotRun));
     BOOST_TEST((begin(key, 4, s_start, 2) == KeyDecision::NotRun));
     BOOST_TEST((begin(key, 5, s_start, 5) == KeyDecision::Run));
@@ -96,8 +96,8 @@
     const KeyTableOptions options;
     const base::TimePoint late = s_start + options.keyLifetime;
     BOOST_TEST((begin(key, 1, late) == KeyDecision::Run));
-    table.markSent(key, RequestId {1});
-    table.complete(key, RequestId {1}, response, late);
+    table.markSent(key, RequestId{1});
+    table.complete(key, RequestId{1}, response, late);
     BOOST_TEST((begin(key, 2, late + options.retention - 1ns) == KeyDecision::Replay));
     BOOST_TEST((begin(key, 3, late + options.retention) == KeyDecision::Unknown));
     BOOST_TEST(table.size() == 0U);
@@ -112,12 +112,12 @@
     const std::string prefix = issuer.prefixFor(s_start, 2);
     for (const char *suffix : {"a", "b"}) {
         BOOST_TEST((begin(prefix + suffix, 1) == KeyDecision::Run));
-        table.markSent(prefix + suffix, RequestId {1});
-        table.complete(prefix + suffix, RequestId {1}, response, s_start);
+        table.markSent(prefix + suffix, RequestId{1});
+        table.complete(prefix + suffix, RequestId{1}, response, s_start);
     }
     BOOST_TEST((begin(prefix + "c", 2) == KeyDecision::Full));
-    BOOST_TEST(table.begin(prefix + "c", s_print, RequestId {3}, s_start, 0).provedNotRun);
-    BOOST_TEST(!table.begin(prefix + "d", s_print, RequestId {3}, s_start, 0).provedNotRun); // no room to remember it
+    BOOST_TEST(table.begin(prefix + "c", s_print, RequestId{3}, s_start, 0).provedNotRun);
+    BOOST_TEST(!table.begin(prefix + "d", s_print, RequestId{3}, s_start, 0).provedNotRun); // no room to remember it
     BOOST_TEST((begin(prefix + "c", 4, s_start, 0) == KeyDecision::NotRun));
     BOOST_TEST((begin(prefix + "a", 5) == KeyDecision::Replay));
     BOOST_TEST((begin(prefix + "b", 6) == KeyDecision::Replay));
@@ -126,10 +126,10 @@
     begin(prefix + "a", 1);
     begin(prefix + "b", 1);
     BOOST_TEST((begin(prefix + "c", 1) == KeyDecision::Full)); // room is reserved for responses still to come
-    table.markSent(prefix + "a", RequestId {1});
-    const auto large = std::make_shared<StoredResponse>(StoredResponse {200, "text/plain", std::string(5'000, 'x')});
-    table.complete(prefix + "a", RequestId {1}, large, s_start);
-    const auto replay = table.begin(prefix + "a", s_print, RequestId {2}, s_start);
+    table.markSent(prefix + "a", RequestId{1});
+    const auto large = std::make_shared<StoredResponse>(StoredResponse{200, "text/plain", std::string(5'000, 'x')});
+    table.complete(prefix + "a", RequestId{1}, large, s_start);
+    const auto replay = table.begin(prefix + "a", s_print, RequestId{2}, s_start);
     BOOST_TEST((replay.response->truncated && replay.response->status == 200 && replay.response->body.empty()));
     BOOST_TEST((begin(prefix + "c", 1) == KeyDecision::Run));
 }
@@ -137,25 +137,25 @@
 // Guards against two runs of a caller-generated key, and against a not-run for a key that another instance may have run.
 BOOST_AUTO_TEST_CASE(callerGeneratedKeysNeedAClaim)
 {
-    const auto first = table.begin("mine", s_print, RequestId {1}, s_start, 0);
+    const auto first = table.begin("mine", s_print, RequestId{1}, s_start, 0);
     BOOST_TEST((first.decision == KeyDecision::NeedsClaim));
-    BOOST_CHECK_THROW(table.markSent("mine", RequestId {1}), Error);
-    BOOST_CHECK_THROW(table.expire("mine", RequestId {1}, s_start), Error);
-    BOOST_TEST((table.claimUnavailable("mine", RequestId {1}, s_start).told.at(0).outcome == Outcome::NotRun));
-    const auto second = table.begin("mine", s_print, RequestId {2}, s_start, 1);
+    BOOST_CHECK_THROW(table.markSent("mine", RequestId{1}), Error);
+    BOOST_CHECK_THROW(table.expire("mine", RequestId{1}, s_start), Error);
+    BOOST_TEST((table.claimUnavailable("mine", RequestId{1}, s_start).told.at(0).outcome == Outcome::NotRun));
+    const auto second = table.begin("mine", s_print, RequestId{2}, s_start, 1);
     BOOST_TEST(second.claimId == first.claimId);
-    BOOST_TEST((table.claimUnavailable("mine", RequestId {2}, s_start).told.at(0).outcome == Outcome::Unknown));
-    table.begin("mine", s_print, RequestId {3}, s_start, 2);
-    table.claimWon("mine", RequestId {3});
-    BOOST_TEST((table.expire("mine", RequestId {3}, s_start).told.at(0).outcome == Outcome::NotRun));
+    BOOST_TEST((table.claimUnavailable("mine", RequestId{2}, s_start).told.at(0).outcome == Outcome::Unknown));
+    table.begin("mine", s_print, RequestId{3}, s_start, 2);
+    table.claimWon("mine", RequestId{3});
+    BOOST_TEST((table.expire("mine", RequestId{3}, s_start).told.at(0).outcome == Outcome::NotRun));
     BOOST_TEST((begin("mine", 4, s_start, 3) == KeyDecision::Run));
-    table.markSent("mine", RequestId {4});
-    table.complete("mine", RequestId {4}, response, s_start);
+    table.markSent("mine", RequestId{4});
+    table.complete("mine", RequestId{4}, response, s_start);
 
-    table.begin("other", s_print, RequestId {5}, s_start);
-    BOOST_TEST((table.claimTaken("other", RequestId {5}, s_start).told.at(0).outcome == Outcome::Unknown));
+    table.begin("other", s_print, RequestId{5}, s_start);
+    BOOST_TEST((table.claimTaken("other", RequestId{5}, s_start).told.at(0).outcome == Outcome::Unknown));
     BOOST_TEST((begin("other", 6) == KeyDecision::Unknown));
-    const auto afterRetention = table.begin("mine", s_print, RequestId {7}, s_start + 1h);
+    const auto afterRetention = table.begin("mine", s_print, RequestId{7}, s_start + 1h);
     BOOST_TEST((afterRetention.decision == KeyDecision::NeedsClaim));
     BOOST_TEST(afterRetention.claimId != first.claimId); // else the row would look like our own, not yet run, claim
 }
@@ -170,12 +170,12 @@
     BOOST_CHECK_THROW(table.exportSealed(s_start), Error);
     table.seal();
     BOOST_TEST((begin(prefix + "late", 2) == KeyDecision::NotRun));
-    table.markSent(prefix + "done", RequestId {1});
-    table.complete(prefix + "done", RequestId {1}, response, s_start);
-    table.markSent(prefix + "lost", RequestId {1});
-    table.loseOutcome(prefix + "lost", RequestId {1}, s_start);
+    table.markSent(prefix + "done", RequestId{1});
+    table.complete(prefix + "done", RequestId{1}, response, s_start);
+    table.markSent(prefix + "lost", RequestId{1});
+    table.loseOutcome(prefix + "lost", RequestId{1}, s_start);
     BOOST_CHECK_THROW(table.exportSealed(s_start), Error);
-    table.expire(prefix + "refused", RequestId {1}, s_start);
+    table.expire(prefix + "refused", RequestId{1}, s_start);
     const auto parts = table.exportSealed(s_start + 1h, 1);
     BOOST_TEST_REQUIRE(parts.size() == 2U);
 
--- a/src/idempotency/key_table_transitions.cpp
+++ b/src/idempotency/key_table_transitions.cpp
@@ -32,7 +32,7 @@
 {
     if (response && response->contentType.capacity() + response->body.capacity() > limit) {
         const bool keepType = response->contentType.size() <= limit / 4;
-        return std::make_shared<StoredResponse>(StoredResponse {response->status, keepType ? response->contentType : std::string(), {}, true});
+        return std::make_shared<StoredResponse>(StoredResponse{response->status, keepType ? response->contentType : std::string(), {}, true});
     }
     return response;
 }
@@ -135,7 +135,7 @@
     checkTransition(record.state, state, item.first);
     // Without a claim of our own, an attempt before this one may have run at another instance.
     const bool unclaimed = record.claim != 0 && !record.claimWon;
-    Ending ending {.response = record.response};
+    Ending ending{.response = record.response};
     const auto tell = [&](base::RequestId id, std::optional<std::uint32_t> repeat) {
         Outcome outcome = state == KeyState::Completed ? Outcome::Replay : Outcome::Unknown;
         if (state == KeyState::NotRun && (!unclaimed || repeat == 0U)) {
--- a/src/idempotency/sealed_tables.cpp
+++ b/src/idempotency/sealed_tables.cpp
@@ -17,12 +17,12 @@
 std::optional<BeginResult> answerFrom(const SealedEntry &entry, Fingerprint fingerprint)
 {
     if (entry.fingerprint != fingerprint) {
-        return BeginResult {.decision = KeyDecision::Mismatch};
+        return BeginResult{.decision = KeyDecision::Mismatch};
     }
     if (entry.state == KeyState::Completed && entry.response) {
-        return BeginResult {.decision = KeyDecision::Replay, .response = entry.response};
+        return BeginResult{.decision = KeyDecision::Replay, .response = entry.response};
     }
-    return BeginResult {.decision = KeyDecision::Unknown};
+    return BeginResult{.decision = KeyDecision::Unknown};
 }
 } // namespace
 
@@ -120,7 +120,7 @@
         return std::nullopt;
     }
     const bool mayBeForgotten = issued->issueTick() < table.oldestRunnableTick;
-    return BeginResult {.decision = mayBeForgotten ? KeyDecision::Unknown : KeyDecision::NotRun};
+    return BeginResult{.decision = mayBeForgotten ? KeyDecision::Unknown : KeyDecision::NotRun};
 }
 
 void SealedTables::forgetExpired(base::TimePoint now)
--- a/src/routing/block_table.cpp
+++ b/src/routing/block_table.cpp
@@ -53,7 +53,7 @@
 /// Disjoint ranges of blocks that are sorted by start, outer blocks first.
 std::vector<Range> flatten(std::span<const document::ClientBlock> sorted, const base::IpAddress &first, std::uint16_t defaultSite)
 {
-    std::vector<Range> ranges {{first, defaultSite}};
+    std::vector<Range> ranges{{first, defaultSite}};
     std::vector<document::ClientBlock> enclosing;
     const auto closeUntil = [&](const base::IpAddress *next) {
         while (!enclosing.empty()) {
@@ -100,7 +100,7 @@
     }
     std::uint16_t v4Default = defaultSite; // an IPv6 block shorter than /96 can enclose the whole IPv4-mapped range
     std::uint8_t longest = 0;
-    const base::IpAddress v4First {0, ~s_v4Mask & 0x0000ffffffffffffULL};
+    const base::IpAddress v4First{0, ~s_v4Mask & 0x0000ffffffffffffULL};
     for (const document::ClientBlock &block : sorted) {
         if (!isV4Block(block) && block.block.contains(v4First) && block.block.prefixLength >= longest) {
             longest = block.block.prefixLength;
--- a/src/routing/block_table_test.cpp
+++ b/src/routing/block_table_test.cpp
@@ -36,8 +36,8 @@
         const bool v4 = *rc::gen::arbitrary<bool>();
         const auto bits = *rc::gen::inRange<std::uint64_t>(0, 4096);
         const unsigned length = *rc::gen::inRange(v4 ? 96 : 0, 129);
-        const base::IpAddress address = v4 ? base::IpAddress {0, 0x0000ffff00000000ULL | (bits << 20U) | bits} : base::IpAddress {bits << 52U, bits};
-        const ClientBlock block {{base::masked(address, length), static_cast<std::uint8_t>(length)}, static_cast<std::uint16_t>(i)};
+        const base::IpAddress address = v4 ? base::IpAddress{0, 0x0000ffff00000000ULL | (bits << 20U) | bits} : base::IpAddress{bits << 52U, bits};
+        const ClientBlock block{{base::masked(address, length), static_cast<std::uint8_t>(length)}, static_cast<std::uint16_t>(i)};
         const bool known = std::any_of(blocks.begin(), blocks.end(), [&block](const ClientBlock &other) {
             return other.block == block.block;
         });
@@ -61,7 +61,7 @@
 
 BOOST_AUTO_TEST_CASE(coversBothEndsOfTheAddressSpace)
 {
-    const std::vector<ClientBlock> blocks {{base::parseIpBlock("255.255.255.255/32").value(), 1},
+    const std::vector<ClientBlock> blocks{{base::parseIpBlock("255.255.255.255/32").value(), 1},
         {base::parseIpBlock("0.0.0.0/32").value(), 2},
         {base::parseIpBlock("ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff/128").value(), 3}};
     const BlockTable table(blocks, s_defaultSite);
@@ -78,8 +78,8 @@
     for (int i = 0; i < 50; ++i) {
         const auto bits = *rc::gen::inRange<std::uint64_t>(0, 4096);
         const auto low = *rc::gen::arbitrary<std::uint32_t>();
-        const base::IpAddress v4 {0, 0x0000ffff00000000ULL | ((bits << 20U) & 0xffffffffULL) | (low & 0xfffffU)};
-        const base::IpAddress v6 {bits << 52U, low};
+        const base::IpAddress v4{0, 0x0000ffff00000000ULL | ((bits << 20U) & 0xffffffffULL) | (low & 0xfffffU)};
+        const base::IpAddress v6{bits << 52U, low};
         RC_ASSERT(table.site(v4) == searchAll(blocks, v4));
         RC_ASSERT(table.site(v6) == searchAll(blocks, v6));
     }
--- a/src/routing/entry_choice.cpp
+++ b/src/routing/entry_choice.cpp
@@ -39,7 +39,7 @@
 {
     for (const document::Region &region : m_document->regions) {
         for (const document::FailureDomain &failureDomain : region.failureDomains) {
-            Domain &domain = m_domains.emplace_back(Domain {failureDomain.name, region.name, {}});
+            Domain &domain = m_domains.emplace_back(Domain{failureDomain.name, region.name, {}});
             for (std::size_t i = 0; i < m_candidates.size(); ++i) {
                 if (m_candidates[i].failureDomain == domain.name) {
                     domain.candidates.push_back(i);
--- a/src/routing/entry_choice_test.cpp
+++ b/src/routing/entry_choice_test.cpp
@@ -30,7 +30,7 @@
     document->regions = {{"north", 1, {{"north-a", 1}, {"north-b", 1}}}, {"south", 1, {{"south-a", 1}}}, {"east", 1, {{"east-a", 1}}}};
     document->sites = {{"home", "north-a"}};
     document->shiftCaps = {{"north", "south", 30, 1}, {"north", "east", 10, 1}, {"south", "north", 10, 1}};
-    return {document, std::make_shared<routing::BlockTable>(), base::Generation {1}, std::move(candidates)};
+    return {document, std::make_shared<routing::BlockTable>(), base::Generation{1}, std::move(candidates)};
 }
 
 base::IpAddress caller(unsigned number)
@@ -38,8 +38,8 @@
     return base::parseIpAddress("10.0." + std::to_string(number / 256) + "." + std::to_string(number % 256)).value();
 }
 
-const std::vector<EntryCandidate> s_north {{"a1", "", "north", "north-a"}, {"a2", "", "north", "north-a"}, {"b1", "", "north", "north-b"}};
-const std::vector<EntryCandidate> s_others {{"s1", "", "south", "south-a"}, {"e1", "", "east", "east-a"}};
+const std::vector<EntryCandidate> s_north{{"a1", "", "north", "north-a"}, {"a2", "", "north", "north-a"}, {"b1", "", "north", "north-b"}};
+const std::vector<EntryCandidate> s_others{{"s1", "", "south", "south-a"}, {"e1", "", "east", "east-a"}};
 
 } // namespace
 
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -94,7 +94,7 @@
     for (const std::size_t index : m_routeOrder[service->second]) {
         const document::Route &route = m_document->services[service->second].routes[index];
         if (prefixMatches(path, route.pathPrefix) && methodMatches(route, method)) {
-            return RouteMatch {service->second, index};
+            return RouteMatch{service->second, index};
         }
     }
     return std::nullopt;
--- a/src/upstream/upstream_set.cpp
+++ b/src/upstream/upstream_set.cpp
@@ -59,7 +59,7 @@
     if (member.inFlight >= most) {
         return std::nullopt;
     }
-    Candidate result {index, member.inFlight, most, member.entry.weight * member.limit.ramp(now), 0.0, 0.0};
+    Candidate result{index, member.inFlight, most, member.entry.weight * member.limit.ramp(now), 0.0, 0.0};
     if (distrust) {
         result.weight *= member.health.connectFailed() ? m_options.connectFailurePenalty : 1.0;
     } else {
--- a/src/upstream/upstream_set_update.cpp
+++ b/src/upstream/upstream_set_update.cpp
@@ -88,7 +88,7 @@
 
 std::size_t UpstreamSet::addMember(const UpstreamSetConfig::Entry &entry)
 {
-    Member member {.entry = entry,
+    Member member{.entry = entry,
         .limit = ConcurrencyLimit(1.0, instanceCeiling(entry.connections, m_config.maximumEntryInstances), m_options.limit),
         .health = UpstreamHealth(m_options.health),
         .leaving = {},
