--- /dev/null
+++ b/src/http/request_reader.hpp
@@ -0,0 +1,70 @@
+// Reads one request from a caller with strict limits.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <utility>
+
+#include "connection.hpp"
+#include "message.hpp"
+
+namespace trefoilstile::http
+{
+
+/// Bytes of request bodies held by all requests together.
+struct BodyBudget {
+    std::uint64_t held {};
+    std::uint64_t limit {};
+};
+
+/// Part of the budget that one request holds; given back on destruction.
+class BodyShare
+{
+public:
+    BodyShare() = default;
+    explicit BodyShare(std::shared_ptr<BodyBudget> budget)
+        : m_budget(std::move(budget))
+    {
+    }
+    BodyShare(BodyShare &&other) noexcept
+        : m_budget(std::move(other.m_budget))
+        , m_bytes(std::exchange(other.m_bytes, 0))
+    {
+    }
+    BodyShare &operator=(BodyShare &&other) noexcept
+    {
+        std::swap(m_budget, other.m_budget);
+        std::swap(m_bytes, other.m_bytes);
+        return *this;
+    }
+    ~BodyShare()
+    {
+        if (m_budget) {
+            m_budget->held -= m_bytes;
+        }
+    }
+
+    /// Grows the share to `bytes`; false if the budget does not allow it.
+    bool growTo(std::uint64_t bytes);
+
+private:
+    std::shared_ptr<BodyBudget> m_budget;
+    std::uint64_t m_bytes {};
+};
+
+struct RequestLimits {
+    std::uint64_t body {}; ///< bytes
+    base::Duration headTimeout {};
+    base::Duration bodyTimeout {};
+};
+
+/// What came of reading a request.
+struct ReadOutcome {
+    bool closed = false; ///< the connection ended, failed or was too slow; there is nobody to respond to
+    std::uint16_t rejectStatus {}; ///< not 0: the request is refused with it and the connection must be closed
+};
+
+/// Reads a whole request. Requests whose length could be understood in two ways are refused with 400.
+asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share);
+
+} // namespace trefoilstile::http
