Add the platform module without its tests

Cause: the daemon and the tool need the stores, the client and its public headers; another developer builds on them now. Ruled out: having the client send a conditional write again by itself, since a conflict with its own first write could not be told from a lost race; and judging a lost answer by the version alone, since the write may arrive late. Before: nothing. Conclusion: while a row has the version that a lost write needs, the same write is made again; once the version has moved, the row's history tells the outcome.

--- /dev/null
+++ b/include/trefoilstile/platform/error.hpp
@@ -0,0 +1,44 @@
+// Errors of the platform module. A write that loses against another is a result, not an error.
+#pragma once
+
+#include "trefoilstile/base/error.hpp"
+
+namespace trefoilstile::platform
+{
+
+/// Base of the errors of this module.
+class PlatformError : public base::Error
+{
+public:
+    using base::Error::Error;
+};
+
+/// The platform could not be asked or refused the request; a write certainly did not and will not take effect.
+class Unavailable : public PlatformError
+{
+public:
+    using PlatformError::PlatformError;
+};
+
+/// Not sent, or rejected by the platform, because too many requests were made or the circuit breaker is open.
+class Throttled : public Unavailable
+{
+public:
+    using Unavailable::Unavailable;
+};
+
+/// The answer to a write was lost. It may have taken effect, and may still do so later.
+class OutcomeUnknown : public PlatformError
+{
+public:
+    using PlatformError::PlatformError;
+};
+
+/// What was read is not of the agreed form, or an object's bytes do not match its hash.
+class MalformedData : public PlatformError
+{
+public:
+    using PlatformError::PlatformError;
+};
+
+} // namespace trefoilstile::platform
--- /dev/null
+++ b/src/platform/claim_store.cpp
@@ -0,0 +1,74 @@
+// Operations on the table `claims`.
+
+#include "trefoilstile/platform/claim_store.hpp"
+
+#include <fmt/format.h>
+
+#include "row_codec.hpp"
+#include "trefoilstile/platform/error.hpp"
+
+namespace trefoilstile::platform
+{
+
+namespace
+{
+
+constexpr std::string_view s_table = "claims";
+
+/// Inserts of one claim. A caller waits for the claim, so only a single broken connection is worth a second one.
+constexpr int s_insertAttempts = 3;
+
+/// A row that is not of the agreed form is not ours, so the key counts as taken.
+engine::ClaimResult owner(const Row &row, std::string_view claimId)
+{
+    const std::optional<ClaimRow> claim = parseClaimRow(row);
+    return claim && claim->claimId == claimId ? engine::ClaimResult::Won : engine::ClaimResult::Taken;
+}
+
+} // namespace
+
+ClaimStore::ClaimStore(Store &store)
+    : m_store(&store)
+{
+}
+
+engine::ClaimResult ClaimStore::claim(std::string_view environment, std::string_view keyHash, std::string_view claimId, std::int64_t expiresAtMs, Call call)
+{
+    const std::string key = fmt::format("{}.{}", environment, keyHash);
+    const std::string value = claimRowText(claimId, expiresAtMs);
+    for (int attempt = 0; attempt < s_insertAttempts; ++attempt) {
+        try {
+            const WriteResult result = m_store->writeRow(s_table, key, 0, value, call);
+            return result.applied ? engine::ClaimResult::Won : owner(result.row, claimId);
+        } catch (const OutcomeUnknown &) {
+            // Inserting again settles it: if the first insert took effect, the conflict shows our own claim ID.
+            continue;
+        } catch (const PlatformError &) {
+            return engine::ClaimResult::Unavailable;
+        }
+    }
+    return engine::ClaimResult::Unavailable;
+}
+
+std::size_t ClaimStore::removeExpired(std::string_view environment, std::int64_t nowMs, std::size_t limit, Call call)
+{
+    std::size_t removed = 0;
+    for (const KeyedRow &found : m_store->listRows(s_table, fmt::format("{}.", environment), call)) {
+        const std::optional<ClaimRow> claim = parseClaimRow(found.row);
+        if (removed == limit) {
+            break;
+        }
+        if (!claim || claim->expiresAtMs >= nowMs) {
+            continue;
+        }
+        try {
+            removed += m_store->removeRow(s_table, found.key, found.row.version, call).applied ? 1 : 0;
+        } catch (const OutcomeUnknown &) {
+            // The next run lists the row again if it is still there.
+            continue;
+        }
+    }
+    return removed;
+}
+
+} // namespace trefoilstile::platform
--- /dev/null
+++ b/src/platform/document_store.cpp
@@ -0,0 +1,83 @@
+// Operations on the table `documents` and the objects it names.
+
+#include "trefoilstile/platform/document_store.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "row_codec.hpp"
+#include "trefoilstile/document/parse.hpp"
+#include "trefoilstile/platform/error.hpp"
+
+namespace trefoilstile::platform
+{
+
+namespace
+{
+
+constexpr std::string_view s_table = "documents";
+
+/// Stores the object. A lost answer is harmless, since the row is written only after one write was answered.
+void storeObject(Store &store, std::string_view hash, std::string_view bytes, const Call &call)
+{
+    try {
+        store.writeObject(hash, bytes, call);
+    } catch (const OutcomeUnknown &error) {
+        throw Unavailable(fmt::format("the object could not be stored for certain, the row was not written: {}", error.what()));
+    }
+}
+
+} // namespace
+
+DocumentStore::DocumentStore(Store &store)
+    : m_store(&store)
+{
+}
+
+std::optional<DocumentRow> DocumentStore::row(std::string_view environment, const Call &call)
+{
+    const Row row = m_store->readRow(s_table, environment, call);
+    if (row.version == 0) {
+        return std::nullopt;
+    }
+    return parseDocumentRow(row);
+}
+
+std::string DocumentStore::bytes(std::string_view hash, const Call &call)
+{
+    std::optional<std::string> bytes = m_store->readObject(hash, call);
+    if (!bytes) {
+        throw MalformedData(fmt::format("the object store has no object {}", hash));
+    }
+    if (const std::string actual = document::contentHash(*bytes); actual != hash) {
+        throw MalformedData(fmt::format("the bytes of object {} have the hash {}", hash, actual));
+    }
+    return std::move(*bytes);
+}
+
+SubmitResult DocumentStore::submit(const Submission &submission, const Call &call)
+{
+    const std::optional<DocumentRow> current = row(submission.environment, call);
+    const std::vector<HistoryEntry> history = current ? current->history : std::vector<HistoryEntry> {};
+    const auto earlier = std::find_if(history.begin(), history.end(), [&](const HistoryEntry &entry) {
+        return entry.submission == submission.id;
+    });
+    if (earlier != history.end()) {
+        return Accepted {earlier->generation};
+    }
+
+    const std::string hash = document::contentHash(submission.bytes);
+    storeObject(*m_store, hash, submission.bytes, call);
+
+    const base::Generation next {current ? current->generation.value + 1 : 1};
+    PendingWrite pending {std::string(s_table),
+        submission.environment,
+        current ? current->version : 0,
+        documentRowText(extended(history, {next, submission.id, hash, submission.acceptedAt})),
+        next,
+        submission.id};
+    return submitWrite(*m_store, std::move(pending), call);
+}
+
+} // namespace trefoilstile::platform
--- /dev/null
+++ b/src/platform/drain_store.cpp
@@ -0,0 +1,108 @@
+// Operations on the table `drains`.
+
+#include "trefoilstile/platform/drain_store.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+#include "row_codec.hpp"
+#include "trefoilstile/platform/error.hpp"
+
+namespace trefoilstile::platform
+{
+
+namespace
+{
+
+constexpr std::string_view s_table = "drains";
+
+/// Conflicts in a row before giving up. Each one means that another operator's change got in; more than this is not
+/// operators at work but a fault.
+constexpr int s_conflictAttempts = 20;
+
+struct NamedKind {
+    engine::DrainKind kind;
+    std::string_view name;
+};
+
+constexpr std::array<NamedKind, 4> s_kinds {{
+    {engine::DrainKind::Upstream, "upstream"},
+    {engine::DrainKind::Entry, "entry"},
+    {engine::DrainKind::FailureDomain, "failure_domain"},
+    {engine::DrainKind::Region, "region"},
+}};
+
+/// Changes the sorted list; false if it is already so.
+bool applyTo(std::vector<engine::Drain> &drains, const DrainChange &change)
+{
+    const auto place = std::lower_bound(drains.begin(), drains.end(), change.drain);
+    const bool present = place != drains.end() && *place == change.drain;
+    if (present == (change.action == DrainChange::Action::Add)) {
+        return false;
+    }
+    if (present) {
+        drains.erase(place);
+    } else {
+        drains.insert(place, change.drain);
+    }
+    return true;
+}
+
+} // namespace
+
+std::string_view toString(engine::DrainKind kind)
+{
+    return s_kinds.at(static_cast<std::size_t>(kind)).name;
+}
+
+std::optional<engine::DrainKind> drainKindFromString(std::string_view name)
+{
+    std::string folded(name);
+    std::replace(folded.begin(), folded.end(), '-', '_');
+    for (const NamedKind &known : s_kinds) {
+        if (known.name == folded) {
+            return known.kind;
+        }
+    }
+    return std::nullopt;
+}
+
+DrainStore::DrainStore(Store &store)
+    : m_store(&store)
+{
+}
+
+DrainRow DrainStore::row(std::string_view environment, const Call &call)
+{
+    return parseDrainRow(m_store->readRow(s_table, environment, call));
+}
+
+DrainResult DrainStore::change(std::string_view environment, const DrainChange &change, std::string_view submission, const Call &call)
+{
+    DrainRow current = row(environment, call);
+    for (int attempt = 0; attempt < s_conflictAttempts; ++attempt) {
+        if (!applyTo(current.drains, change)) {
+            return DrainApplied {current.generation, false};
+        }
+        const base::Generation next {current.generation.value + 1};
+        PendingWrite pending {std::string(s_table),
+            std::string(environment),
+            current.version,
+            drainRowText(extended(current.history, {next, std::string(submission), {}, {}}), current.drains),
+            next,
+            std::string(submission)};
+        SubmitResult result = submitWrite(*m_store, std::move(pending), call);
+        if (const auto *accepted = std::get_if<Accepted>(&result)) {
+            return DrainApplied {accepted->generation};
+        }
+        if (auto *unsettled = std::get_if<Unsettled>(&result)) {
+            return std::move(*unsettled);
+        }
+        current = parseDrainRow(std::get<LostRace>(result).row);
+    }
+    throw Unavailable(fmt::format("the drain list was changed by others {} times in a row", s_conflictAttempts));
+}
+
+} // namespace trefoilstile::platform
--- /dev/null
+++ b/src/platform/row_codec.hpp
@@ -0,0 +1,48 @@
+// JSON form of the rows that this module writes.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/platform/drain_store.hpp"
+#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/platform/submission.hpp"
+
+namespace trefoilstile::platform
+{
+
+/// @throws MalformedData
+DocumentRow parseDocumentRow(const Row &row);
+
+/// A row that does not exist is generation 0.
+/// @throws MalformedData
+DrainRow parseDrainRow(const Row &row);
+
+/// History of a row of either table; empty for a row that does not exist.
+/// @throws MalformedData
+std::vector<HistoryEntry> parseHistory(const Row &row);
+
+/// Value of the row that makes `history.back()` the document in effect.
+std::string documentRowText(const std::vector<HistoryEntry> &history);
+
+/// Value of the row that makes `history.back()` the drain list in effect.
+std::string drainRowText(const std::vector<HistoryEntry> &history, const std::vector<engine::Drain> &drains);
+
+/// History with a new last element, cut to `s_historyLength`.
+std::vector<HistoryEntry> extended(std::vector<HistoryEntry> history, HistoryEntry entry);
+
+/// Value of a row of `claims`.
+std::string claimRowText(std::string_view claimId, std::int64_t expiresAtMs);
+
+struct ClaimRow {
+    std::string claimId;
+    std::int64_t expiresAtMs {};
+};
+
+/// Nothing if the row is not of the agreed form.
+std::optional<ClaimRow> parseClaimRow(const Row &row);
+
+} // namespace trefoilstile::platform
--- /dev/null
+++ b/src/platform/submission.cpp
@@ -0,0 +1,89 @@
+// Conditional writes of generations and the settling of lost answers.
+
+#include "trefoilstile/platform/submission.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "row_codec.hpp"
+#include "trefoilstile/platform/error.hpp"
+
+namespace trefoilstile::platform
+{
+
+namespace
+{
+
+/// Attempts to settle before giving up for now. A read and a write may each fail once with the connection; failures
+/// that last longer are an outage, and the caller decides how long to go on.
+constexpr int s_settleAttempts = 4;
+
+const HistoryEntry *find(const std::vector<HistoryEntry> &history, base::Generation generation)
+{
+    const auto found = std::find_if(history.begin(), history.end(), [&](const HistoryEntry &entry) {
+        return entry.generation == generation;
+    });
+    return found == history.end() ? nullptr : &*found;
+}
+
+/// Outcome of a write whose condition no longer holds, as the row's history tells it.
+SubmitResult outcomeFromHistory(PendingWrite pending, const Row &row)
+{
+    std::vector<HistoryEntry> history;
+    try {
+        history = parseHistory(row);
+    } catch (const MalformedData &error) {
+        return Unsettled {std::move(pending), error.what()};
+    }
+    const HistoryEntry *entry = find(history, pending.generation);
+    if (entry == nullptr) {
+        return Unsettled {pending, fmt::format("the history of {}/{} does not reach generation {}", pending.table, pending.key, pending.generation.value)};
+    }
+    if (entry->submission == pending.submission) {
+        return Accepted {pending.generation};
+    }
+    return LostRace {*entry, row};
+}
+
+/// Outcome of a write that was answered with a conflict and was made only once: it is lost, whatever the history says.
+SubmitResult lostForCertain(PendingWrite pending, const Row &row)
+{
+    SubmitResult outcome = outcomeFromHistory(std::move(pending), row);
+    if (std::holds_alternative<Unsettled>(outcome)) {
+        return LostRace {{}, row};
+    }
+    return outcome;
+}
+
+} // namespace
+
+SubmitResult submitWrite(Store &store, PendingWrite pending, const Call &call)
+{
+    try {
+        const WriteResult result = store.writeRow(pending.table, pending.key, pending.ifVersion, pending.value, call);
+        return result.applied ? Accepted {pending.generation} : lostForCertain(std::move(pending), result.row);
+    } catch (const OutcomeUnknown &) {
+        return settle(store, std::move(pending), call);
+    }
+}
+
+SubmitResult settle(Store &store, PendingWrite pending, const Call &call)
+{
+    std::string reason;
+    for (int attempt = 0; attempt < s_settleAttempts; ++attempt) {
+        try {
+            const Row row = store.readRow(pending.table, pending.key, call);
+            if (row.version != pending.ifVersion) {
+                return outcomeFromHistory(std::move(pending), row);
+            }
+            const WriteResult result = store.writeRow(pending.table, pending.key, pending.ifVersion, pending.value, call);
+            return result.applied ? Accepted {pending.generation} : outcomeFromHistory(std::move(pending), result.row);
+        } catch (const PlatformError &error) {
+            reason = error.what();
+        }
+    }
+    return Unsettled {std::move(pending), reason};
+}
+
+} // namespace trefoilstile::platform
