--- /dev/null
+++ b/src/shift/loan_book.cpp
@@ -0,0 +1,129 @@
+// Both sides of the loans of quota.
+
+#include "trefoilstile/shift/loan_book.hpp"
+
+#include <algorithm>
+
+namespace trefoilstile::shift
+{
+
+namespace
+{
+/// Open loans of one instance on each side. 12 instances with 6 pairs of regions and two resources need at most 132.
+constexpr std::size_t s_maximumLoans = 256;
+} // namespace
+
+LoanBook::LoanBook(base::IncarnationId self, const ShiftOptions &options)
+    : m_self(self)
+    , m_options(options)
+{
+    m_options.check();
+}
+
+std::optional<LoanRequest> LoanBook::ask(
+    base::IncarnationId lender, const RegionPair &link, Resource resource, Units amount, base::Duration lease, base::TimePoint now)
+{
+    dropExpired(now);
+    if (m_borrowed.size() >= s_maximumLoans || lease > m_options.maximumLease || lease <= base::Duration::zero() || amount == 0) {
+        return std::nullopt;
+    }
+    const LoanRequest request {{m_self, ++m_lastSequence}, lender, m_generation, link, resource, amount, lease};
+    m_borrowed.emplace(request.id, Borrowed {request, now + scaled(lease, 1 - m_options.leaseMargin), 0});
+    return request;
+}
+
+bool LoanBook::accept(const LoanGrant &grant, base::TimePoint now)
+{
+    dropExpired(now);
+    const auto found = m_borrowed.find(grant.id);
+    if (found == m_borrowed.end() || found->second.amount != 0) {
+        return false;
+    }
+    const LoanRequest &request = found->second.request;
+    if (request.lender != grant.lender || grant.amount > request.amount) {
+        return false;
+    }
+    found->second.amount = grant.amount;
+    return true;
+}
+
+Units LoanBook::borrowed(const RegionPair &link, Resource resource, base::TimePoint now)
+{
+    dropExpired(now);
+    Units sum = 0;
+    for (const auto &[id, loan] : m_borrowed) {
+        sum += loan.request.link == link && loan.request.resource == resource ? loan.amount : 0;
+    }
+    return sum;
+}
+
+std::optional<LoanReturn> LoanBook::giveBack(const LoanId &id)
+{
+    const auto found = m_borrowed.find(id);
+    if (found == m_borrowed.end()) {
+        return std::nullopt;
+    }
+    const LoanReturn message {id, found->second.request.lender};
+    m_borrowed.erase(found);
+    return message;
+}
+
+std::optional<LoanGrant> LoanBook::consider(const LoanRequest &request, Units lendable, base::TimePoint now)
+{
+    dropExpired(now);
+    const bool lease = request.lease > base::Duration::zero() && request.lease <= m_options.maximumLease;
+    if (request.lender != m_self || request.id.holder == m_self || !lease) {
+        return std::nullopt;
+    }
+    if (const auto found = m_lent.find(request.id); found != m_lent.end()) {
+        return found->second.returned ? std::nullopt : std::optional(LoanGrant {request.id, m_self, found->second.amount});
+    }
+    const Units amount = std::min(request.amount, lendable);
+    if (request.generation != m_generation || amount == 0 || m_lent.size() >= s_maximumLoans) {
+        return std::nullopt;
+    }
+    const base::TimePoint goneUntil = now + scaled(request.lease, 1 + m_options.leaseMargin) + m_options.localWindow();
+    m_lent.emplace(request.id, Lent {request, goneUntil, amount});
+    return LoanGrant {request.id, m_self, amount};
+}
+
+Units LoanBook::lent(const RegionPair &link, Resource resource, base::TimePoint now)
+{
+    dropExpired(now);
+    Units sum = 0;
+    for (const auto &[id, loan] : m_lent) {
+        sum += loan.request.link == link && loan.request.resource == resource ? loan.amount : 0;
+    }
+    return sum;
+}
+
+void LoanBook::onReturn(const LoanReturn &message, base::TimePoint now)
+{
+    const auto found = m_lent.find(message.id);
+    if (message.lender != m_self || found == m_lent.end() || found->second.returned) {
+        return;
+    }
+    // The holder's last use may still be within the window.
+    found->second.returned = true;
+    found->second.goneUntil = std::min(found->second.goneUntil, now + m_options.localWindow());
+}
+
+void LoanBook::adopt(base::Generation generation)
+{
+    m_generation = generation;
+    std::erase_if(m_borrowed, [&](const auto &item) {
+        return item.second.request.generation != generation;
+    });
+}
+
+void LoanBook::dropExpired(base::TimePoint now)
+{
+    std::erase_if(m_borrowed, [now](const auto &item) {
+        return now >= item.second.usableUntil;
+    });
+    std::erase_if(m_lent, [now](const auto &item) {
+        return now >= item.second.goneUntil;
+    });
+}
+
+} // namespace trefoilstile::shift
