--- /dev/null
+++ b/include/trefoilstile/steering/generation_holder.hpp
@@ -0,0 +1,83 @@
+// The document and drain list in effect at this node, and the alarms about answers that contradict them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/base/time.hpp"
+#include "trefoilstile/steering/version.hpp"
+
+namespace trefoilstile::steering
+{
+
+/// Result of comparing a version with the one in effect.
+enum class Verdict : std::uint8_t {
+    Newer, ///< higher generation: to be fetched
+    Same, ///< the one in effect
+    Older, ///< ignored
+    Mismatch, ///< another hash for a known generation; ignored
+};
+
+/// Names of alarms as they stand in status and metrics.
+inline constexpr std::string_view s_documentRegressed = "document_regressed";
+inline constexpr std::string_view s_documentHashMismatch = "document_hash_mismatch";
+
+/// An alarm that stands, with what raised it.
+struct Alarm {
+    std::string_view name;
+    base::TimePoint since;
+    DocumentVersion seen; ///< the version that contradicts the one in effect
+};
+
+/// Holds the generations in effect, which move up only.
+///
+/// Rules for clearing alarms. `document_regressed` is cleared when the store answers with a generation that is not
+/// below the one in effect. `document_hash_mismatch` is cleared when a higher generation comes into effect than the one
+/// in dispute, since the disputed generation then no longer matters to anybody.
+class GenerationHolder
+{
+public:
+    const Announcement &announcement() const
+    {
+        return m_announcement;
+    }
+
+    /// True if a document is in effect.
+    bool hasDocument() const
+    {
+        return m_announcement.document.generation.value != 0;
+    }
+
+    /// Compares a version that a peer announced. A peer with an older generation only lags, which is no alarm.
+    Verdict compareWithPeer(const DocumentVersion &version, base::TimePoint now);
+
+    /// Compares the row that the store returned to a request sent at `requested`. A generation of 0 means no row. An
+    /// older generation raises an alarm only if the request was sent after the one in effect had been put in effect,
+    /// because an answer that was overtaken on its way proves nothing.
+    Verdict compareWithStore(const DocumentVersion &version, base::TimePoint requested, base::TimePoint now);
+
+    /// Puts a document in effect if its generation is higher. Returns whether it did.
+    bool adoptDocument(const DocumentVersion &version, base::TimePoint now);
+
+    /// Puts a drain list in effect if its generation is higher. Returns whether it did.
+    bool adoptDrains(base::Generation generation);
+
+    /// Alarms that stand at present.
+    std::vector<Alarm> alarms() const;
+
+private:
+    Verdict compare(const DocumentVersion &version) const;
+    void raiseMismatch(const DocumentVersion &version, base::TimePoint now);
+
+    Announcement m_announcement; ///< neither generation ever goes down
+    base::TimePoint m_adopted; ///< when the document came into effect
+    std::map<base::Generation, std::string> m_hashes; ///< hashes of the last generations in effect; see s_knownHashes
+    std::optional<Alarm> m_regressed;
+    std::optional<Alarm> m_mismatch;
+};
+
+} // namespace trefoilstile::steering
