--- /dev/null
+++ b/src/peer/payload_codec_test.cpp
@@ -0,0 +1,87 @@
+// Guards against payload bytes from a faulty or captured holder of the key that end the process, take unbounded memory
+// or reach the decision modules with values out of bounds.
+
+#include "payload_codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "generators.hpp"
+#include "translate.hpp"
+
+using namespace trefoilstile;
+using namespace trefoilstile::peer;
+
+namespace
+{
+
+/// True if the bytes decode, false if they are refused; any other outcome fails the test.
+bool decodes(std::int32_t kind, std::string_view bytes)
+{
+    try {
+        (void)decodePayload(kind, bytes);
+        return true;
+    } catch (const MalformedBytes &) {
+        return false;
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Payloads)
+
+RC_BOOST_PROP(truncatedPayloadsAreRefused, ())
+{
+    for (const Payload &payload : testing::onePayloadOfEachKind()) {
+        const std::string bytes = encodePayload(payload);
+        for (std::size_t length = 0; length < bytes.size(); ++length) {
+            RC_ASSERT(!decodes(kindOf(payload), std::string_view(bytes).substr(0, length)));
+        }
+    }
+}
+
+RC_BOOST_PROP(damagedPayloadsAreDecodedOrRefused, (const std::vector<std::pair<std::uint16_t, char>> &changes))
+{
+    for (const Payload &payload : testing::onePayloadOfEachKind()) {
+        std::string bytes = encodePayload(payload);
+        for (const auto &[place, value] : changes) {
+            bytes[place % bytes.size()] = value;
+        }
+        for (std::int32_t kind = 0; kind <= static_cast<std::int32_t>(std::variant_size_v<Payload>) + 1; ++kind) {
+            (void)decodes(kind, bytes);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(claimedSizesAreBounded)
+{
+    // GossipBody with a list of structs that claims 2^31 - 1 elements, and a string that claims as many bytes.
+    const std::int32_t gossip = kindOf(membership::Gossip {});
+    BOOST_TEST(!decodes(gossip, std::string("\x1c\x39\xfc\xff\xff\xff\xff\x07", 8)));
+    BOOST_TEST(!decodes(gossip, std::string("\x1c\x1c\x28\xff\xff\xff\xff\x07", 8)));
+    membership::GossipBody body;
+    body.sender.info.emplace();
+    body.updates.resize(257);
+    BOOST_TEST(!decodes(gossip, encodePayload(membership::Gossip {body})));
+}
+
+BOOST_AUTO_TEST_CASE(valuesOutOfBoundsAreRefused)
+{
+    membership::Gossip gossip;
+    const std::int32_t kind = kindOf(gossip);
+    BOOST_TEST(!decodes(kind, encodePayload(gossip)), "the record of the sender is required");
+    gossip.body.sender.info.emplace();
+    BOOST_TEST(decodes(kind, encodePayload(gossip)));
+    auto unknownState = gossip;
+    unknownState.body.sender.status.state = membership::MemberState(3);
+    BOOST_TEST(!decodes(kind, encodePayload(unknownState)));
+    auto longName = gossip;
+    longName.body.sender.info->name = std::string(65, 'n');
+    BOOST_TEST(!decodes(kind, encodePayload(longName)));
+    auto negative = gossip;
+    negative.body.announcement.drains = {1ULL << 63U};
+    BOOST_TEST(!decodes(kind, encodePayload(negative)));
+    BOOST_TEST(!decodes(kindOf(HandoffPart {}), encodePayload(HandoffPart {{1}, {1, 2, 2, 0, ""}})));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/peer/translate.hpp
@@ -0,0 +1,115 @@
+// Translation between Thrift structs and the plain values of the decision modules. `fromWire` checks every bound.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <string>
+
+#include "compact.hpp"
+#include "trefoilstile/peer/payload.hpp"
+#include "trefoilstile_types.h"
+
+namespace trefoilstile::peer
+{
+
+/// Longest name or address in a payload, in bytes.
+inline constexpr std::size_t s_maximumText = 64;
+
+/// Throws MalformedBytes unless the condition holds.
+inline void require(bool condition, const char *what)
+{
+    if (!condition) {
+        throw MalformedBytes(what);
+    }
+}
+
+inline std::string checkedText(std::string text)
+{
+    require(text.size() <= s_maximumText, "text over its limit");
+    return text;
+}
+
+template<typename Integer, typename Wire>
+Integer checkedNumber(Wire value)
+{
+    require(value >= 0 && static_cast<std::uint64_t>(value) <= static_cast<std::uint64_t>(std::numeric_limits<Integer>::max()), "number out of range");
+    return static_cast<Integer>(value);
+}
+
+/// Enumerator from its number, if it is not above `last`.
+template<typename Enum>
+Enum checkedEnum(std::int32_t value, Enum last)
+{
+    require(value >= 0 && value <= static_cast<std::int32_t>(last), "unknown enumerator");
+    return static_cast<Enum>(value);
+}
+
+/// Identifiers and nonces use all 64 bits; Thrift has signed integers only.
+inline std::int64_t bitsToWire(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+inline std::uint64_t bitsFromWire(std::int64_t value)
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+template<typename Tag>
+std::int64_t bitsToWire(base::Id<Tag> id)
+{
+    return static_cast<std::int64_t>(id.value);
+}
+
+inline base::IncarnationId incarnationFromWire(std::int64_t value)
+{
+    return {bitsFromWire(value)};
+}
+
+inline base::Generation generationFromWire(std::int64_t value)
+{
+    return {checkedNumber<std::uint64_t>(value)};
+}
+
+/// Spans travel as whole milliseconds; longer than a day is out of range.
+std::int64_t millisecondsToWire(base::Duration span);
+base::Duration durationFromWire(std::int64_t milliseconds);
+
+wire::GossipBody toWire(const membership::GossipBody &value);
+membership::GossipBody fromWire(const wire::GossipBody &value);
+
+wire::Probe toWire(const membership::Probe &value);
+wire::Ack toWire(const membership::Ack &value);
+wire::ProbeRequest toWire(const membership::ProbeRequest &value);
+wire::Gossip toWire(const membership::Gossip &value);
+wire::SummaryExchange toWire(const membership::SummaryExchange &value);
+wire::FetchDocumentRequest toWire(const FetchDocumentRequest &value);
+wire::FetchDocumentResponse toWire(const FetchDocumentResponse &value);
+wire::FetchDrainsRequest toWire(const FetchDrainsRequest &value);
+wire::FetchDrainsResponse toWire(const FetchDrainsResponse &value);
+wire::HandoffPart toWire(const HandoffPart &value);
+wire::HandoffAck toWire(const HandoffAck &value);
+wire::LoanRequest toWire(const LoanRequest &value);
+wire::LoanGrant toWire(const LoanGrant &value);
+wire::LoanReturn toWire(const LoanReturn &value);
+wire::LoanAck toWire(const LoanAck &value);
+wire::CapacityAdvertisement toWire(const CapacityAdvertisement &value);
+
+membership::Probe fromWire(const wire::Probe &value);
+membership::Ack fromWire(const wire::Ack &value);
+membership::ProbeRequest fromWire(const wire::ProbeRequest &value);
+membership::Gossip fromWire(const wire::Gossip &value);
+membership::SummaryExchange fromWire(const wire::SummaryExchange &value);
+FetchDocumentRequest fromWire(const wire::FetchDocumentRequest &value);
+FetchDocumentResponse fromWire(const wire::FetchDocumentResponse &value);
+FetchDrainsRequest fromWire(const wire::FetchDrainsRequest &value);
+FetchDrainsResponse fromWire(const wire::FetchDrainsResponse &value);
+HandoffPart fromWire(const wire::HandoffPart &value);
+HandoffAck fromWire(const wire::HandoffAck &value);
+LoanRequest fromWire(const wire::LoanRequest &value);
+LoanGrant fromWire(const wire::LoanGrant &value);
+LoanReturn fromWire(const wire::LoanReturn &value);
+LoanAck fromWire(const wire::LoanAck &value);
+CapacityAdvertisement fromWire(const wire::CapacityAdvertisement &value);
+
+} // namespace trefoilstile::peer
