--- a/include/trefoilstile/admission/demand_meter.hpp
+++ b/include/trefoilstile/admission/demand_meter.hpp
@@ -41,9 +41,9 @@
     static constexpr double s_gain = 1.0 / 64.0;
     static constexpr double s_least = 1e-5; ///< seconds; keeps rates finite
 
-    double m_held {}; // seconds, as m_firstByte; meaningless while m_samples is 0
-    double m_firstByte {};
-    double m_samples {};
+    double m_held{}; // seconds, as m_firstByte; meaningless while m_samples is 0
+    double m_firstByte{};
+    double m_samples{};
 };
 
 /// Rate of arrivals, rejected ones included, as an exponentially decaying count.
--- a/include/trefoilstile/http/caller_server.hpp
+++ b/include/trefoilstile/http/caller_server.hpp
@@ -32,7 +32,7 @@
 struct LookupResponse {
     std::uint16_t status = 200;
     std::string body; ///< JSON
-    base::Duration retryAfter {}; ///< for statuses other than 200; 0: no `Retry-After`
+    base::Duration retryAfter{}; ///< for statuses other than 200; 0: no `Retry-After`
 };
 
 struct CallerServerOptions {
--- a/include/trefoilstile/http/clock.hpp
+++ b/include/trefoilstile/http/clock.hpp
@@ -11,7 +11,7 @@
 /// Present time. CLOCK_BOOTTIME is monotonic and counts the time during which the machine was suspended.
 inline base::TimePoint now()
 {
-    timespec time {};
+    timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
     return base::TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
--- a/include/trefoilstile/membership/messages.hpp
+++ b/include/trefoilstile/membership/messages.hpp
@@ -31,13 +31,13 @@
 
 /// What changes in the life of a member. Status numbers and report numbers are raised by the member itself only.
 struct MemberStatus {
-    std::uint64_t statusNumber {}; ///< a higher one overrides any state reported with a lower one
+    std::uint64_t statusNumber{}; ///< a higher one overrides any state reported with a lower one
     MemberState state = MemberState::Alive;
-    std::uint64_t reportNumber {}; ///< orders the fields below
+    std::uint64_t reportNumber{}; ///< orders the fields below
     bool leaving = false; ///< announced by the member; never taken back
     base::Generation generation; ///< document in effect
     base::Generation drainGeneration; ///< drain list in effect
-    std::uint32_t spareCapacity {}; ///< requests/s
+    std::uint32_t spareCapacity{}; ///< requests/s
 
     friend bool operator==(const MemberStatus &, const MemberStatus &) = default;
 };
@@ -63,13 +63,13 @@
 struct DomainSummary {
     std::string failureDomain;
     std::string region;
-    std::uint32_t alive {};
-    std::uint32_t suspect {};
-    std::uint32_t dead {};
-    std::uint32_t leaving {}; ///< of those alive
+    std::uint32_t alive{};
+    std::uint32_t suspect{};
+    std::uint32_t dead{};
+    std::uint32_t leaving{}; ///< of those alive
     steering::Announcement highest; ///< highest generations in effect there
-    std::uint64_t spareCapacity {}; ///< requests/s of those alive and not leaving
-    base::Duration age {}; ///< since a relay of the domain made the summary
+    std::uint64_t spareCapacity{}; ///< requests/s of those alive and not leaving
+    base::Duration age{}; ///< since a relay of the domain made the summary
     std::vector<RelayAddress> relays;
 
     friend bool operator==(const DomainSummary &, const DomainSummary &) = default;
@@ -88,7 +88,7 @@
 /// Asks the receiver to answer with `Ack`. `target` is the incarnation that the sender expects at the address; 0 for a
 /// seed address of which nothing is known.
 struct Probe {
-    std::uint64_t nonce {};
+    std::uint64_t nonce{};
     base::IncarnationId target;
     GossipBody body;
 
@@ -97,7 +97,7 @@
 
 /// Answer to a `Probe`, a `SummaryExchange` or a `ProbeRequest`.
 struct Ack {
-    std::uint64_t nonce {};
+    std::uint64_t nonce{};
     base::IncarnationId responder; ///< who answered at the probed address; differs from the sender if passed on
     GossipBody body;
 
@@ -106,7 +106,7 @@
 
 /// Asks the receiver to probe a third member and to pass on its answer.
 struct ProbeRequest {
-    std::uint64_t nonce {};
+    std::uint64_t nonce{};
     base::IncarnationId target;
     std::string targetAddress;
     GossipBody body;
@@ -123,7 +123,7 @@
 
 /// Probe between relays of two failure domains; it and its `Ack` carry the summaries.
 struct SummaryExchange {
-    std::uint64_t nonce {};
+    std::uint64_t nonce{};
     base::IncarnationId target;
     GossipBody body;
 
--- a/include/trefoilstile/peer/envelope_codec.hpp
+++ b/include/trefoilstile/peer/envelope_codec.hpp
@@ -60,7 +60,7 @@
 struct Received {
     base::IncarnationId sender;
     std::string senderName;
-    std::uint64_t sequence {};
+    std::uint64_t sequence{};
     bool firstContact = false; ///< nothing of this incarnation is remembered; see `ReplayWindows`
     Payload payload;
 };
@@ -106,10 +106,10 @@
     DecodeResult examine(std::string_view bytes, Channel channel);
 
     CodecSettings m_settings;
-    std::array<std::uint64_t, s_channelCount> m_sequences {}; ///< last number used; the first one sent is 1
+    std::array<std::uint64_t, s_channelCount> m_sequences{}; ///< last number used; the first one sent is 1
     ReplayWindows m_windows;
-    std::array<std::uint64_t, s_dropReasonCount> m_dropped {};
-    std::uint64_t m_accepted {};
+    std::array<std::uint64_t, s_dropReasonCount> m_dropped{};
+    std::uint64_t m_accepted{};
 };
 
 } // namespace trefoilstile::peer
--- a/include/trefoilstile/peer/parts.hpp
+++ b/include/trefoilstile/peer/parts.hpp
@@ -56,8 +56,8 @@
     std::uint64_t m_transfer;
     std::size_t m_limit;
     std::optional<std::uint32_t> m_count; ///< from the first part
-    std::uint64_t m_totalBytes {};
-    std::uint32_t m_received {}; ///< parts 0 to m_received - 1 are in m_bytes
+    std::uint64_t m_totalBytes{};
+    std::uint32_t m_received{}; ///< parts 0 to m_received - 1 are in m_bytes
     std::string m_bytes;
 };
 
--- a/include/trefoilstile/peer/payload.hpp
+++ b/include/trefoilstile/peer/payload.hpp
@@ -19,10 +19,10 @@
 
 /// One piece of a byte string that is too large for one frame.
 struct Part {
-    std::uint64_t transfer {}; ///< the same for all parts of one transfer, drawn by the sender
-    std::uint32_t index {}; ///< from 0
+    std::uint64_t transfer{}; ///< the same for all parts of one transfer, drawn by the sender
+    std::uint32_t index{}; ///< from 0
     std::uint32_t count = 1; ///< parts of the transfer; at least 1
-    std::uint64_t totalBytes {}; ///< of the whole transfer
+    std::uint64_t totalBytes{}; ///< of the whole transfer
     std::string bytes;
 
     friend bool operator==(const Part &, const Part &) = default;
@@ -37,7 +37,7 @@
 
 /// Asks for a document body. Answered by one `FetchDocumentResponse` for each part, or one without a body.
 struct FetchDocumentRequest {
-    std::uint64_t fetch {}; ///< chosen by the requester; the transfer of the parts has the same number
+    std::uint64_t fetch{}; ///< chosen by the requester; the transfer of the parts has the same number
     steering::DocumentVersion version;
 
     friend bool operator==(const FetchDocumentRequest &, const FetchDocumentRequest &) = default;
@@ -53,7 +53,7 @@
 
 /// Asks for the drain list in effect at the receiver, at least of the given generation.
 struct FetchDrainsRequest {
-    std::uint64_t fetch {};
+    std::uint64_t fetch{};
     base::Generation generation;
 
     friend bool operator==(const FetchDrainsRequest &, const FetchDrainsRequest &) = default;
@@ -78,8 +78,8 @@
 /// Parts received so far; `complete` once the receiver holds the whole table and answers for its keys.
 struct HandoffAck {
     base::IncarnationId issuer;
-    std::uint64_t transfer {};
-    std::uint32_t received {};
+    std::uint64_t transfer{};
+    std::uint32_t received{};
     bool complete = false;
 
     friend bool operator==(const HandoffAck &, const HandoffAck &) = default;
@@ -87,12 +87,12 @@
 
 /// Terms of a loan of unused quota for one ordered pair of regions.
 struct LoanTerms {
-    std::uint64_t loan {}; ///< drawn by the borrower; a repeat of a message has the same number
+    std::uint64_t loan{}; ///< drawn by the borrower; a repeat of a message has the same number
     std::string fromRegion;
     std::string toRegion;
-    std::uint64_t requestsPerSecond {};
-    std::uint64_t bytesPerSecond {};
-    base::Duration lease {}; ///< whole milliseconds on the wire
+    std::uint64_t requestsPerSecond{};
+    std::uint64_t bytesPerSecond{};
+    base::Duration lease{}; ///< whole milliseconds on the wire
 
     friend bool operator==(const LoanTerms &, const LoanTerms &) = default;
 };
@@ -110,13 +110,13 @@
 };
 
 struct LoanReturn {
-    std::uint64_t loan {};
+    std::uint64_t loan{};
 
     friend bool operator==(const LoanReturn &, const LoanReturn &) = default;
 };
 
 struct LoanAck {
-    std::uint64_t loan {};
+    std::uint64_t loan{};
 
     friend bool operator==(const LoanAck &, const LoanAck &) = default;
 };
@@ -124,7 +124,7 @@
 /// Spare capacity of one service.
 struct ServiceCapacity {
     std::string service;
-    std::uint64_t requestsPerSecond {};
+    std::uint64_t requestsPerSecond{};
 
     friend bool operator==(const ServiceCapacity &, const ServiceCapacity &) = default;
 };
@@ -132,8 +132,8 @@
 /// Spare capacity of a region as its sender measured it.
 struct CapacityAdvertisement {
     std::string region;
-    std::uint64_t number {}; ///< raised by the sender with each measurement
-    base::Duration age {}; ///< of the measurement; whole milliseconds on the wire
+    std::uint64_t number{}; ///< raised by the sender with each measurement
+    base::Duration age{}; ///< of the measurement; whole milliseconds on the wire
     std::vector<ServiceCapacity> services;
 
     friend bool operator==(const CapacityAdvertisement &, const CapacityAdvertisement &) = default;
--- a/include/trefoilstile/peer/replay_window.hpp
+++ b/include/trefoilstile/peer/replay_window.hpp
@@ -23,7 +23,7 @@
     bool accept(std::uint64_t sequence);
 
 private:
-    std::uint64_t m_highest {};
+    std::uint64_t m_highest{};
     std::bitset<s_size> m_seen; ///< bit `n % s_size` for the numbers in (m_highest - s_size, m_highest]
 };
 
--- a/include/trefoilstile/platform/circuit_breaker.hpp
+++ b/include/trefoilstile/platform/circuit_breaker.hpp
@@ -28,7 +28,7 @@
 public:
     /// Permission for one request, handed back with its outcome.
     struct Permit {
-        std::uint64_t epoch {};
+        std::uint64_t epoch{};
     };
 
     explicit CircuitBreaker(CircuitBreakerOptions options = {});
@@ -65,10 +65,10 @@
     CircuitBreakerOptions m_options;
     BreakerState m_state = BreakerState::Closed;
     bool m_probing = false; ///< only while half-open
-    std::uint32_t m_failures {}; ///< in a row; only while closed
+    std::uint32_t m_failures{}; ///< in a row; only while closed
     base::Duration m_backoff; ///< of the next opening, before jitter; at most `maximumBackoff`
     base::TimePoint m_retryAt;
-    std::uint64_t m_epoch {}; ///< changes with the state, so that outcomes of requests from before are ignored
+    std::uint64_t m_epoch{}; ///< changes with the state, so that outcomes of requests from before are ignored
 };
 
 } // namespace trefoilstile::platform
--- a/include/trefoilstile/platform/document_store.hpp
+++ b/include/trefoilstile/platform/document_store.hpp
@@ -14,7 +14,7 @@
 
 /// Row `documents/<environment>`.
 struct DocumentRow {
-    std::uint64_t version {}; ///< of the row
+    std::uint64_t version{}; ///< of the row
     base::Generation generation;
     std::string hash; ///< of the document's bytes; their name in the object store
     std::string submission;
--- a/include/trefoilstile/platform/drain_store.hpp
+++ b/include/trefoilstile/platform/drain_store.hpp
@@ -22,7 +22,7 @@
 
 /// Row `drains/<environment>`. A row that does not exist is generation 0 without drains.
 struct DrainRow {
-    std::uint64_t version {}; ///< of the row
+    std::uint64_t version{}; ///< of the row
     base::Generation generation;
     std::string submission;
     std::vector<engine::Drain> drains; ///< sorted, each once
--- a/include/trefoilstile/platform/http_connection.hpp
+++ b/include/trefoilstile/platform/http_connection.hpp
@@ -18,7 +18,7 @@
 /// Address of a TCP server.
 struct Endpoint {
     std::string address; ///< IP address
-    std::uint16_t port {};
+    std::uint16_t port{};
 };
 
 /// Endpoint read from `IP:port` (IPv6: `[IP]:port`), or nothing. Port 0 is refused.
@@ -44,7 +44,7 @@
 };
 
 struct HttpResponse {
-    unsigned status {};
+    unsigned status{};
     std::string body;
 };
 
--- a/include/trefoilstile/platform/platform_client.hpp
+++ b/include/trefoilstile/platform/platform_client.hpp
@@ -55,7 +55,7 @@
     CircuitBreaker m_breaker;
     PurposeBudgets m_budgets;
     HttpConnection m_connection;
-    std::atomic<BreakerState> m_breakerState {BreakerState::Closed};
+    std::atomic<BreakerState> m_breakerState{BreakerState::Closed};
 };
 
 } // namespace trefoilstile::platform
--- a/include/trefoilstile/platform/purpose_budgets.hpp
+++ b/include/trefoilstile/platform/purpose_budgets.hpp
@@ -17,14 +17,14 @@
 
 /// Rate of one purpose for one kind of access.
 struct BudgetRate {
-    double perSecond {}; ///< requests/s; not negative
-    double burst {}; ///< requests that an idle purpose may make at once; not negative
+    double perSecond{}; ///< requests/s; not negative
+    double burst{}; ///< requests that an idle purpose may make at once; not negative
 };
 
 /// Rates by access and purpose. The defaults are those of one of 12 entry instances, which together stay under half of
 /// the platform's 2,000 reads/s and several hundred writes/s.
 struct PurposeBudgetOptions {
-    std::array<std::array<BudgetRate, s_purposeCount>, s_accessCount> rates {{
+    std::array<std::array<BudgetRate, s_purposeCount>, s_accessCount> rates{{
         {{{10, 20}, {40, 40}, {5, 10}}},
         {{{2, 8}, {10, 20}, {1, 2}}},
     }};
@@ -48,7 +48,7 @@
     void refill(base::TimePoint now);
 
     PurposeBudgetOptions m_options;
-    std::array<std::array<double, s_purposeCount>, s_accessCount> m_tokens {}; ///< 0 to the burst of each
+    std::array<std::array<double, s_purposeCount>, s_accessCount> m_tokens{}; ///< 0 to the burst of each
     std::optional<base::TimePoint> m_last; ///< time up to which tokens have been added
 };
 
--- a/include/trefoilstile/platform/store.hpp
+++ b/include/trefoilstile/platform/store.hpp
@@ -16,7 +16,7 @@
 
 /// Row of a table.
 struct Row {
-    std::uint64_t version {}; ///< 0 stands for a row that does not exist; otherwise opaque, never used twice by one row
+    std::uint64_t version{}; ///< 0 stands for a row that does not exist; otherwise opaque, never used twice by one row
     std::string value; ///< JSON text; empty if the row does not exist
 
     friend bool operator==(const Row &, const Row &) = default;
--- a/include/trefoilstile/platform/submission.hpp
+++ b/include/trefoilstile/platform/submission.hpp
@@ -32,7 +32,7 @@
 struct PendingWrite {
     std::string table;
     std::string key;
-    std::uint64_t ifVersion {}; ///< the write can take effect only on this version
+    std::uint64_t ifVersion{}; ///< the write can take effect only on this version
     std::string value;
     base::Generation generation; ///< that the write makes
     std::string submission;
--- a/include/trefoilstile/shift/capacity_advert.hpp
+++ b/include/trefoilstile/shift/capacity_advert.hpp
@@ -13,10 +13,10 @@
 
 /// Measured spare capacity of a region.
 struct CapacityAdvert {
-    std::uint64_t sequence {}; ///< higher for each new measurement
-    double spare {}; ///< requests/s; negative if the region is overloaded
-    double shifted {}; ///< requests/s that came from other regions
-    base::Duration age {}; ///< time since the middle of the measurement, transport included
+    std::uint64_t sequence{}; ///< higher for each new measurement
+    double spare{}; ///< requests/s; negative if the region is overloaded
+    double shifted{}; ///< requests/s that came from other regions
+    base::Duration age{}; ///< time since the middle of the measurement, transport included
 };
 
 struct DampingOptions {
@@ -57,7 +57,7 @@
 private:
     struct Bucket {
         base::TimePoint start;
-        double requests {};
+        double requests{};
     };
 
     double sentAt(base::TimePoint time) const;
--- a/include/trefoilstile/shift/commitment_ledger.hpp
+++ b/include/trefoilstile/shift/commitment_ledger.hpp
@@ -11,8 +11,8 @@
 
 /// A number of lookup responses that the caller I/O thread may give out on its own.
 struct LookupGrant {
-    std::uint64_t id {}; ///< 0: nothing was granted
-    std::uint32_t responses {};
+    std::uint64_t id{}; ///< 0: nothing was granted
+    std::uint32_t responses{};
 };
 
 /// Counts commitments against the same quota as forwarded requests.
@@ -51,9 +51,9 @@
 private:
     struct Grant {
         RegionPair link;
-        Units unitsEach {};
-        std::uint32_t left {};
-        base::Duration maximumTtl {};
+        Units unitsEach{};
+        std::uint32_t left{};
+        base::Duration maximumTtl{};
     };
     using Grants = std::map<std::uint64_t, Grant>;
 
--- a/include/trefoilstile/shift/loan_book.hpp
+++ b/include/trefoilstile/shift/loan_book.hpp
@@ -27,7 +27,7 @@
 /// Identifies a loan; chosen by the holder and never used twice.
 struct LoanId {
     base::IncarnationId holder;
-    std::uint64_t sequence {};
+    std::uint64_t sequence{};
 
     friend bool operator==(const LoanId &, const LoanId &) = default;
 
@@ -44,15 +44,15 @@
     base::Generation generation; ///< document of the holder; the lender grants only under the same one
     RegionPair link;
     Resource resource = Resource::Requests;
-    Units amount {};
-    base::Duration lease {};
+    Units amount{};
+    base::Duration lease{};
 };
 
 /// Lender to holder. The lease runs from before the request was sent.
 struct LoanGrant {
     LoanId id;
     base::IncarnationId lender;
-    Units amount {}; ///< at most what was asked for
+    Units amount{}; ///< at most what was asked for
 };
 
 /// Holder to lender: the holder has stopped using the loan for good.
@@ -96,12 +96,12 @@
     struct Borrowed {
         LoanRequest request;
         base::TimePoint usableUntil;
-        Units amount {}; ///< 0 until granted
+        Units amount{}; ///< 0 until granted
     };
     struct Lent {
         LoanRequest request;
         base::TimePoint goneUntil;
-        Units amount {};
+        Units amount{};
         bool returned = false;
     };
 
--- a/include/trefoilstile/shift/shift_budget.hpp
+++ b/include/trefoilstile/shift/shift_budget.hpp
@@ -83,7 +83,7 @@
 
 private:
     struct Account {
-        Units quota {}; ///< fixed quota under the adopted document
+        Units quota{}; ///< fixed quota under the adopted document
         QuotaAccount account;
     };
     struct Key {
--- a/include/trefoilstile/shift/window_budget.hpp
+++ b/include/trefoilstile/shift/window_budget.hpp
@@ -33,7 +33,7 @@
     struct Slot {
         base::TimePoint first;
         base::TimePoint last;
-        Units amount {};
+        Units amount{};
     };
 
     void dropOld(base::TimePoint now);
--- a/src/admission/class_scheduler_test.cpp
+++ b/src/admission/class_scheduler_test.cpp
@@ -19,7 +19,7 @@
 SchedulerOptions options()
 {
     SchedulerOptions result;
-    result.classes = {{document::ClassPolicy {8.0, 0.3}, document::ClassPolicy {3.0, 0.3}, document::ClassPolicy {1.0, 0.1}}};
+    result.classes = {{document::ClassPolicy{8.0, 0.3}, document::ClassPolicy{3.0, 0.3}, document::ClassPolicy{1.0, 0.1}}};
     result.queueLength = 8;
     result.order = QueueOrder::Fifo;
     return result;
@@ -45,7 +45,7 @@
     while (const auto next = scheduler.next(now, 10)) {
         started.push_back(next->request.id.value);
     }
-    BOOST_TEST(started == (std::vector<std::uint64_t> {3, 2, 1}), boost::test_tools::per_element());
+    BOOST_TEST(started == (std::vector<std::uint64_t>{3, 2, 1}), boost::test_tools::per_element());
 }
 
 // An unbounded queue would hold requests that nobody waits for any more.
--- a/src/admission/share_test.cpp
+++ b/src/admission/share_test.cpp
@@ -22,22 +22,22 @@
 {
 
 struct Load {
-    base::Duration interval {}; ///< mean time between arrivals; 0 for none
-    base::Duration work {}; ///< mean time that a slot is held
+    base::Duration interval{}; ///< mean time between arrivals; 0 for none
+    base::Duration work{}; ///< mean time that a slot is held
 };
 
 struct Usage {
-    double slotSeconds {};
-    std::size_t served {};
-    std::size_t offered {};
-    std::size_t lost {}; ///< rejected or expired
-    base::Duration longestWait {};
+    double slotSeconds{};
+    std::size_t served{};
+    std::size_t offered{};
+    std::size_t lost{}; ///< rejected or expired
+    base::Duration longestWait{};
 };
 
 SchedulerOptions options()
 {
     SchedulerOptions result;
-    result.classes = {{document::ClassPolicy {8.0, 0.3}, document::ClassPolicy {3.0, 0.3}, document::ClassPolicy {1.0, 0.1}}};
+    result.classes = {{document::ClassPolicy{8.0, 0.3}, document::ClassPolicy{3.0, 0.3}, document::ClassPolicy{1.0, 0.1}}};
     return result;
 }
 
@@ -67,7 +67,7 @@
                         next = m_now;
                     }
                     ++m_usage[priorityClass].offered;
-                    const QueuedRequest request {{++m_lastId}, priorityClass, m_now, m_now + 3s};
+                    const QueuedRequest request{{++m_lastId}, priorityClass, m_now, m_now + 3s};
                     m_usage[priorityClass].lost += m_scheduler.enqueue(request, m_now, m_slots) == Admission::Accepted ? 0 : 1;
                 }
             }
@@ -111,11 +111,11 @@
 
     ClassScheduler m_scheduler;
     std::size_t m_slots;
-    base::SplitMix64 m_random {20261204};
-    base::TimePoint m_now {1s};
+    base::SplitMix64 m_random{20261204};
+    base::TimePoint m_now{1s};
     std::priority_queue<Running> m_running;
     base::PerClass<Usage> m_usage;
-    std::uint64_t m_lastId {};
+    std::uint64_t m_lastId{};
 };
 
 } // namespace
@@ -127,7 +127,7 @@
     everyClassKeepsItsShareUnderFloods, boost::unit_test::data::make({1, 2, 3, 4, 5, 10, 16}) * boost::unit_test::data::make({0, 1, 2}), slots, flood)
 {
     const double second = 1.0 / slots;
-    base::PerClass<Load> loads {{Load {20ms, 20ms}, Load {20ms, 20ms}, Load {20ms, 20ms}}};
+    base::PerClass<Load> loads{{Load{20ms, 20ms}, Load{20ms, 20ms}, Load{20ms, 20ms}}};
     for (Load &load : loads.values) {
         // Each class alone offers 1.5 times the capacity, the flood 10 times.
         load.interval = std::chrono::duration_cast<base::Duration>(load.work * second / 1.5);
@@ -145,7 +145,7 @@
 // With long downloads on few slots, an urgent request that finds no free slot would wait for seconds.
 BOOST_DATA_TEST_CASE(urgentDoesNotWaitBehindDownloads, boost::unit_test::data::make({1, 2, 3, 4, 5, 10, 16}), slots)
 {
-    const base::PerClass<Load> loads {{Load {500ms, 20ms}, Load {}, Load {50ms, 10s}}};
+    const base::PerClass<Load> loads{{Load{500ms, 20ms}, Load{}, Load{50ms, 10s}}};
     FakeService service(options(), slots);
     const base::PerClass<Usage> usage = service.run(loads, 300s);
     BOOST_TEST(usage[PriorityClass::Urgent].served > 500);
@@ -186,7 +186,7 @@
 // Beyond the shares, the weights divide: 3 to 1 of the slots that urgent work leaves.
 BOOST_AUTO_TEST_CASE(weightsDivideWhatIsBeyondTheShares)
 {
-    const base::PerClass<Load> loads {{Load {}, Load {500us, 20ms}, Load {500us, 20ms}}};
+    const base::PerClass<Load> loads{{Load{}, Load{500us, 20ms}, Load{500us, 20ms}}};
     FakeService service(options(), 20);
     service.run(loads, 5s);
     const base::PerClass<Usage> usage = service.run(loads, 60s);
@@ -199,7 +199,7 @@
 // Urgent demand that fits beside the other classes' shares is served whole, whatever floods at the same time.
 BOOST_DATA_TEST_CASE(urgentWithinCapacityIsAllServed, boost::unit_test::data::make({4, 10, 16}), slots)
 {
-    base::PerClass<Load> loads {{Load {20ms, 20ms}, Load {20ms, 20ms}, Load {20ms, 20ms}}};
+    base::PerClass<Load> loads{{Load{20ms, 20ms}, Load{20ms, 20ms}, Load{20ms, 20ms}}};
     loads[PriorityClass::Urgent].interval = std::chrono::duration_cast<base::Duration>(base::Duration(20ms) / (0.5 * slots));
     loads[PriorityClass::Interactive].interval = std::chrono::duration_cast<base::Duration>(base::Duration(20ms) / (10.0 * slots));
     loads[PriorityClass::Bulk].interval = loads[PriorityClass::Interactive].interval;
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -22,7 +22,7 @@
     , pool(std::move(connectionPool))
     , options(std::move(serverOptions))
     , handlers(std::move(callerHandlers))
-    , bodyBudget(std::make_shared<BodyBudget>(BodyBudget {0, options.totalBodyLimit}))
+    , bodyBudget(std::make_shared<BodyBudget>(BodyBudget{0, options.totalBodyLimit}))
     , m_listener(std::make_shared<Listener>(context, options.listenAddress))
 {
 }
@@ -53,7 +53,7 @@
         socket.shutdown(tcp::socket::shutdown_send, error);
         return;
     }
-    const auto client = base::parseIpAddress(peer.address().to_string()).value_or(base::IpAddress {});
+    const auto client = base::parseIpAddress(peer.address().to_string()).value_or(base::IpAddress{});
     const auto connection = std::make_shared<Connection>(context, std::move(socket));
     const auto session = std::make_shared<CallerSession>(shared_from_this(), connection, client);
     sessions.insert(session.get());
--- a/src/http/caller_session.cpp
+++ b/src/http/caller_session.cpp
@@ -66,7 +66,7 @@
     m_closeAfter = false;
     Request request;
     BodyShare share(m_core->bodyBudget);
-    const RequestLimits limits {m_core->options.bodyLimit, m_core->options.headTimeout, m_core->options.bodyTimeout};
+    const RequestLimits limits{m_core->options.bodyLimit, m_core->options.headTimeout, m_core->options.bodyTimeout};
     const ReadOutcome outcome = co_await readRequest(m_connection, limits, request, share);
     if (outcome.closed) {
         co_return false;
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -151,7 +151,7 @@
     ErrorCode error;
     socket.shutdown(tcp::socket::shutdown_send, error);
     readDeadline.set(s_lingerTime);
-    std::array<char, 4096> discarded {};
+    std::array<char, 4096> discarded{};
     for (std::size_t total = 0; !error && total < s_lingerBytes;) {
         total += co_await socket.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
     }
@@ -176,7 +176,7 @@
     if (!socket.is_open()) {
         return true;
     }
-    pollfd state {socket.native_handle(), POLLRDHUP, 0};
+    pollfd state{socket.native_handle(), POLLRDHUP, 0};
     return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
@@ -185,7 +185,7 @@
     if (!socket.is_open() || input.size() > 0) {
         return false;
     }
-    pollfd state {socket.native_handle(), POLLIN | POLLRDHUP, 0};
+    pollfd state{socket.native_handle(), POLLIN | POLLRDHUP, 0};
     return ::poll(&state, 1, 0) == 0;
 }
 
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -58,7 +58,7 @@
     asio::io_context &m_context;
     UpstreamClientOptions m_options;
     std::map<std::string, std::vector<Idle>> m_idle; ///< oldest first; no empty vectors
-    std::size_t m_idleCount {}; ///< sum of the sizes of `m_idle`
+    std::size_t m_idleCount{}; ///< sum of the sizes of `m_idle`
     std::shared_ptr<std::size_t> m_open; ///< shared with the count tokens of connections
     asio::steady_timer m_sweepTimer;
     bool m_sweepPending = false;
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -34,7 +34,7 @@
     std::shared_ptr<Transfer> current; ///< the only one that may pass on bytes; null if none
 
     bool headPassed = false; ///< part of a response has been passed on, so no other response can be
-    std::uint64_t delivered {}; ///< body bytes of the response passed on
+    std::uint64_t delivered{}; ///< body bytes of the response passed on
     std::optional<std::uint64_t> total; ///< length of the whole body, if known
     std::string etag; ///< strong entity tag of the response being passed on; empty if it cannot be resumed
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -29,7 +29,7 @@
 
 bool isConnectionField(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 11> names {"connection",
+    static constexpr std::array<std::string_view, 11> names{"connection",
         "keep-alive",
         "proxy-connection",
         "proxy-authenticate",
@@ -107,7 +107,7 @@
     if (text.empty() || text.find_first_not_of("0123456789") != std::string_view::npos) {
         return std::nullopt;
     }
-    std::uint64_t number {};
+    std::uint64_t number{};
     const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
     return result.ec == std::errc() ? std::optional(number) : std::nullopt;
 }
@@ -145,7 +145,7 @@
     if (!first || !last || !total || *first > *last || *last >= *total) {
         return std::nullopt;
     }
-    return ContentRange {*first, *last, *total};
+    return ContentRange{*first, *last, *total};
 }
 
 bool isStrongETag(std::string_view value)
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -27,7 +27,7 @@
 };
 
 struct ResponseHead {
-    std::uint16_t status {};
+    std::uint16_t status{};
     std::string reason;
     Headers headers;
     std::optional<std::uint64_t> contentLength;
@@ -35,9 +35,9 @@
 
 /// Part of an object that a 206 response carries.
 struct ContentRange {
-    std::uint64_t first {};
-    std::uint64_t last {};
-    std::uint64_t total {};
+    std::uint64_t first{};
+    std::uint64_t last{};
+    std::uint64_t total{};
 };
 
 bool equalsIgnoreCase(std::string_view left, std::string_view right);
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -14,7 +14,7 @@
     : m_core(std::move(core))
     , m_exchange(std::move(exchange))
     , m_command(std::move(command))
-    , m_call(m_core->pool, m_command.address, PacedLink {})
+    , m_call(m_core->pool, m_command.address, PacedLink{})
 {
 }
 
@@ -47,7 +47,7 @@
             m_core->forget(m_exchange);
         }
     }
-    m_core->handlers.event(engine::RelayEnded {m_command.id, responded});
+    m_core->handlers.event(engine::RelayEnded{m_command.id, responded});
 }
 
 bool RelayTransfer::mayPass() const
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -98,10 +98,10 @@
     while (!parser.is_done()) {
         const bool moved = parseSome(*connection, parser, error);
         if (error) {
-            co_return ReadOutcome {false, statusOf(error)};
+            co_return ReadOutcome{false, statusOf(error)};
         }
         if (!share.growTo(parser.get().body().size())) {
-            co_return ReadOutcome {false, 503};
+            co_return ReadOutcome{false, 503};
         }
         if (moved || parser.is_done()) {
             continue;
@@ -109,10 +109,10 @@
         error = co_await connection->readSome();
         if (error) {
             const bool full = error == asio::error::no_buffer_space;
-            co_return ReadOutcome {!full, static_cast<std::uint16_t>(full ? 400 : 0)};
+            co_return ReadOutcome{!full, static_cast<std::uint16_t>(full ? 400 : 0)};
         }
     }
-    co_return ReadOutcome {};
+    co_return ReadOutcome{};
 }
 
 /// Empty lines before a request line are allowed by RFC 9112, section 2.2.
@@ -151,24 +151,24 @@
     skipEmptyLines(*connection);
     const ErrorCode error = co_await readHead(connection, parser);
     if (error && (error.category() == asio::error::get_system_category() || error == asio::error::eof)) {
-        co_return ReadOutcome {true, 0};
+        co_return ReadOutcome{true, 0};
     }
     if (error) {
-        co_return ReadOutcome {false, statusOf(error)};
+        co_return ReadOutcome{false, statusOf(error)};
     }
     takeHead(parser, request);
     if (const std::uint16_t status = checkHead(parser, request); status != 0) {
-        co_return ReadOutcome {false, status};
+        co_return ReadOutcome{false, status};
     }
     if (!share.growTo(parser.content_length().value_or(0))) {
-        co_return ReadOutcome {false, 503};
+        co_return ReadOutcome{false, 503};
     }
     connection->readDeadline.set(limits.bodyTimeout);
     const std::string *expect = findHeader(request.headers, "Expect");
     if (expect != nullptr && request.http11 && !parser.is_done() && equalsIgnoreCase(*expect, "100-continue")) {
         const ErrorCode failed = co_await connection->write("HTTP/1.1 100 Continue\r\n\r\n", s_continueTimeout);
         if (failed) {
-            co_return ReadOutcome {true, 0};
+            co_return ReadOutcome{true, 0};
         }
     }
     const ReadOutcome outcome = co_await readBody(connection, parser, share);
--- a/src/http/request_reader.hpp
+++ b/src/http/request_reader.hpp
@@ -13,8 +13,8 @@
 
 /// Bytes of request bodies held by all requests together.
 struct BodyBudget {
-    std::uint64_t held {};
-    std::uint64_t limit {};
+    std::uint64_t held{};
+    std::uint64_t limit{};
 };
 
 /// Part of the budget that one request holds; given back on destruction.
@@ -49,19 +49,19 @@
 
 private:
     std::shared_ptr<BodyBudget> m_budget;
-    std::uint64_t m_bytes {};
+    std::uint64_t m_bytes{};
 };
 
 struct RequestLimits {
-    std::uint64_t body {}; ///< bytes
-    base::Duration headTimeout {};
-    base::Duration bodyTimeout {};
+    std::uint64_t body{}; ///< bytes
+    base::Duration headTimeout{};
+    base::Duration bodyTimeout{};
 };
 
 /// What came of reading a request.
 struct ReadOutcome {
     bool closed = false; ///< the connection ended, failed or was too slow; there is nobody to respond to
-    std::uint16_t rejectStatus {}; ///< not 0: the request is refused with it and the connection must be closed
+    std::uint16_t rejectStatus{}; ///< not 0: the request is refused with it and the connection must be closed
 };
 
 /// Reads a whole request. Requests whose length could be understood in two ways are refused with 400.
--- a/src/http/server_core.cpp
+++ b/src/http/server_core.cpp
@@ -47,7 +47,7 @@
 std::shared_ptr<Exchange> ServerCore::admit(Request request, BodyShare share)
 {
     const auto exchange = std::make_shared<Exchange>();
-    exchange->id = base::RequestId {++m_lastRequest};
+    exchange->id = base::RequestId{++m_lastRequest};
     exchange->request = std::move(request);
     exchange->bodyShare = std::move(share);
     exchanges.emplace(exchange->id, exchange);
@@ -61,7 +61,7 @@
         return; // already ended by a command
     }
     const auto current = exchange->current;
-    handlers.event(engine::CallerDisconnected {exchange->id});
+    handlers.event(engine::CallerDisconnected{exchange->id});
     if (current) {
         current->abandon();
     }
@@ -118,7 +118,7 @@
 {
     auto exchange = find(command.id);
     if (!exchange || exchange->headPassed) {
-        handlers.event(engine::RelayEnded {command.id, false});
+        handlers.event(engine::RelayEnded{command.id, false});
         return;
     }
     takeOver(*exchange);
@@ -189,7 +189,7 @@
 
 void ServerCore::execute(const engine::Forget &command)
 {
-    execute(engine::Truncate {command.id});
+    execute(engine::Truncate{command.id});
 }
 
 } // namespace trefoilstile::http
--- a/src/http/server_core.hpp
+++ b/src/http/server_core.hpp
@@ -56,7 +56,7 @@
     std::shared_ptr<BodyBudget> bodyBudget;
     std::unordered_map<base::RequestId, std::shared_ptr<Exchange>> exchanges; ///< requests held
     std::unordered_set<CallerSession *> sessions; ///< open connections
-    std::size_t transfers {}; ///< attempts and relays that have not ended
+    std::size_t transfers{}; ///< attempts and relays that have not ended
     bool stopping = false; ///< responses carry `Connection: close`
     bool accepting = false; ///< the listening socket is open
 
@@ -67,7 +67,7 @@
     void respond(const std::shared_ptr<Exchange> &exchange, ResponseHead head, std::string body);
 
     std::shared_ptr<Listener> m_listener;
-    std::uint64_t m_lastRequest {};
+    std::uint64_t m_lastRequest{};
 };
 
 /// Head of a rejection with the outcome and, if it is not zero, `Retry-After` in whole seconds, rounded up.
--- a/src/http/upstream_call.cpp
+++ b/src/http/upstream_call.cpp
@@ -122,7 +122,7 @@
     if (m_link.region.empty() || !pacer || bytes == 0) {
         co_return !m_cancelled;
     }
-    base::Duration waited {};
+    base::Duration waited{};
     while (!m_cancelled && !timedOut() && waited <= limit) {
         const base::Duration wait = pacer(m_link.region, bytes, m_link.priorityClass);
         if (wait <= base::Duration::zero()) {
--- a/src/peer/envelope_codec.cpp
+++ b/src/peer/envelope_codec.cpp
@@ -36,7 +36,7 @@
 
 Mac computeMac(std::string_view key, std::string_view bytes)
 {
-    Mac mac {};
+    Mac mac{};
     unsigned length = 0;
     const auto *result =
         HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), mac.data(), &length);
@@ -65,7 +65,7 @@
 
 std::string_view toString(DropReason reason)
 {
-    constexpr std::array<std::string_view, s_dropReasonCount> names {"too_large",
+    constexpr std::array<std::string_view, s_dropReasonCount> names{"too_large",
         "malformed",
         "wrong_mac",
         "unknown_version",
--- a/src/peer/envelope_codec_test.cpp
+++ b/src/peer/envelope_codec_test.cpp
@@ -39,8 +39,8 @@
     envelope.sender = "node";
     envelope.incarnation = 1;
     envelope.sequence = 1;
-    envelope.kind = kindOf(LoanAck {5});
-    envelope.payload = encodePayload(LoanAck {5});
+    envelope.kind = kindOf(LoanAck{5});
+    envelope.payload = encodePayload(LoanAck{5});
     envelope.mac.assign(32, '\0');
     return envelope;
 }
@@ -68,7 +68,7 @@
         const auto *received = std::get_if<Received>(&result);
         RC_ASSERT(received != nullptr);
         RC_ASSERT(received->payload == payload);
-        RC_ASSERT(received->sender == base::IncarnationId {1});
+        RC_ASSERT(received->sender == base::IncarnationId{1});
         RC_ASSERT(received->senderName == "node");
     }
 }
@@ -90,13 +90,13 @@
     expect(std::string(1'401, 'x'), Channel::Datagram, DropReason::TooLarge);
     expect(std::string((1U << 20U) + 1, 'x'), Channel::Frame, DropReason::TooLarge);
     expect("", Channel::Datagram, DropReason::Malformed);
-    expect(makeCodec(1, "trial", "a key of some other fleet").encode(LoanAck {5}), Channel::Datagram, DropReason::WrongMac);
+    expect(makeCodec(1, "trial", "a key of some other fleet").encode(LoanAck{5}), Channel::Datagram, DropReason::WrongMac);
     const auto setVersion = [](wire::Envelope &envelope) {
         envelope.version = 2;
     };
     expect(altered(setVersion), Channel::Datagram, DropReason::UnknownVersion);
-    expect(makeCodec(1, "production").encode(LoanAck {5}), Channel::Datagram, DropReason::ForeignEnvironment);
-    expect(makeCodec(2).encode(LoanAck {5}), Channel::Datagram, DropReason::OwnMessage);
+    expect(makeCodec(1, "production").encode(LoanAck{5}), Channel::Datagram, DropReason::ForeignEnvironment);
+    expect(makeCodec(2).encode(LoanAck{5}), Channel::Datagram, DropReason::OwnMessage);
     const auto setKind = [](wire::Envelope &envelope) {
         envelope.kind = 17;
     };
@@ -115,7 +115,7 @@
 {
     EnvelopeCodec sender = makeCodec(1);
     EnvelopeCodec receiver = makeCodec(2);
-    const std::string bytes = sender.encode(membership::Probe {1, {2}, testing::gossipBody()});
+    const std::string bytes = sender.encode(membership::Probe{1, {2}, testing::gossipBody()});
     for (std::size_t length = 0; length < bytes.size(); ++length) {
         RC_ASSERT(std::holds_alternative<DropReason>(receiver.decode(std::string_view(bytes).substr(0, length), Channel::Datagram)));
     }
@@ -126,7 +126,7 @@
 {
     RC_PRE(mask != 0);
     EnvelopeCodec receiver = makeCodec(2);
-    std::string bytes = makeCodec(1).encode(membership::Gossip {testing::gossipBody()});
+    std::string bytes = makeCodec(1).encode(membership::Gossip{testing::gossipBody()});
     const auto place = *rc::gen::inRange<std::size_t>(0, bytes.size());
     bytes[place] = static_cast<char>(bytes[place] ^ mask);
     RC_ASSERT(std::holds_alternative<DropReason>(receiver.decode(bytes, Channel::Datagram)));
@@ -144,7 +144,7 @@
 {
     EnvelopeCodec sender = makeCodec(1);
     membership::Gossip gossip;
-    gossip.body.sender.info = membership::MemberInfo {std::string(1'400, 'n'), "", "", "", ""};
+    gossip.body.sender.info = membership::MemberInfo{std::string(1'400, 'n'), "", "", "", ""};
     BOOST_CHECK_THROW(sender.encode(gossip), CodecError);
     BOOST_CHECK_THROW(EnvelopeCodec({"short", "trial", "node", {1}}), CodecError);
 }
--- a/src/peer/generators.hpp
+++ b/src/peer/generators.hpp
@@ -47,14 +47,14 @@
     update.incarnation = {bits()};
     update.status = {number(), membership::MemberState(*rc::gen::inRange(0, 3)), number(), *rc::gen::arbitrary<bool>(), {number()}, {number()}, smallNumber()};
     if (withInfo) {
-        update.info = membership::MemberInfo {text(), text(), text(), text(), text()};
+        update.info = membership::MemberInfo{text(), text(), text(), text(), text()};
     }
     return update;
 }
 
 inline membership::GossipBody gossipBody()
 {
-    membership::GossipBody body {announcement(), memberUpdate(true), {}, {}};
+    membership::GossipBody body{announcement(), memberUpdate(true), {}, {}};
     for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
         body.updates.push_back(memberUpdate(*rc::gen::arbitrary<bool>()));
     }
@@ -79,22 +79,22 @@
 /// A payload of each kind, in order.
 inline std::vector<Payload> onePayloadOfEachKind()
 {
-    return {membership::Probe {bits(), {bits()}, gossipBody()},
-        membership::Ack {bits(), {bits()}, gossipBody()},
-        membership::ProbeRequest {bits(), {bits()}, text(), gossipBody()},
-        membership::Gossip {gossipBody()},
-        membership::SummaryExchange {bits(), {bits()}, gossipBody()},
-        FetchDocumentRequest {bits(), {{number()}, text()}},
-        FetchDocumentResponse {FetchStatus::Found, {{number()}, text()}, part()},
-        FetchDrainsRequest {bits(), {number()}},
-        FetchDrainsResponse {FetchStatus::Busy, {number()}, part()},
-        HandoffPart {{bits()}, part()},
-        HandoffAck {{bits()}, bits(), smallNumber(), true},
-        LoanRequest {loanTerms()},
-        LoanGrant {loanTerms()},
-        LoanReturn {bits()},
-        LoanAck {bits()},
-        CapacityAdvertisement {text(), number(), span(), {{text(), number()}, {text(), number()}}}};
+    return {membership::Probe{bits(), {bits()}, gossipBody()},
+        membership::Ack{bits(), {bits()}, gossipBody()},
+        membership::ProbeRequest{bits(), {bits()}, text(), gossipBody()},
+        membership::Gossip{gossipBody()},
+        membership::SummaryExchange{bits(), {bits()}, gossipBody()},
+        FetchDocumentRequest{bits(), {{number()}, text()}},
+        FetchDocumentResponse{FetchStatus::Found, {{number()}, text()}, part()},
+        FetchDrainsRequest{bits(), {number()}},
+        FetchDrainsResponse{FetchStatus::Busy, {number()}, part()},
+        HandoffPart{{bits()}, part()},
+        HandoffAck{{bits()}, bits(), smallNumber(), true},
+        LoanRequest{loanTerms()},
+        LoanGrant{loanTerms()},
+        LoanReturn{bits()},
+        LoanAck{bits()},
+        CapacityAdvertisement{text(), number(), span(), {{text(), number()}, {text(), number()}}}};
 }
 
 } // namespace trefoilstile::peer::testing
--- a/src/peer/parts_test.cpp
+++ b/src/peer/parts_test.cpp
@@ -14,13 +14,13 @@
 BOOST_AUTO_TEST_CASE(wholeComesBackAndEachPartFitsAFrame)
 {
     EnvelopeCodec codec({"a key of the trial environment", std::string(64, 'e'), std::string(64, 'n'), {~0ULL}});
-    for (const std::size_t size : {std::size_t {0}, std::size_t {1}, s_maximumPartBytes, s_maximumPartBytes + 1, 3 * s_maximumPartBytes}) {
+    for (const std::size_t size : {std::size_t{0}, std::size_t{1}, s_maximumPartBytes, s_maximumPartBytes + 1, 3 * s_maximumPartBytes}) {
         const std::string whole(size, 'w');
         PartAssembler assembler(7, 3 * s_maximumPartBytes);
         const std::uint32_t count = partCount(size);
         for (std::uint32_t index = 0; index < count; ++index) {
             const Part part = partOf(7, whole, index);
-            const FetchDocumentResponse response {FetchStatus::Found, {{~0ULL}, std::string(64, 'a')}, part};
+            const FetchDocumentResponse response{FetchStatus::Found, {{~0ULL}, std::string(64, 'a')}, part};
             BOOST_TEST(codec.encode(response).size() <= s_maximumFrameBytes);
             BOOST_TEST(assembler.add(part) == (index + 1 == count));
             BOOST_TEST(assembler.add(part) == (index + 1 == count), "a repeated part is ignored");
--- a/src/peer/payload.cpp
+++ b/src/peer/payload.cpp
@@ -16,7 +16,7 @@
 };
 
 /// In the order of the alternatives of `Payload`.
-constexpr std::array<Kind, std::variant_size_v<Payload>> s_kinds {{
+constexpr std::array<Kind, std::variant_size_v<Payload>> s_kinds{{
     {"probe", Channel::Datagram},
     {"ack", Channel::Datagram},
     {"probe_request", Channel::Datagram},
--- a/src/peer/payload_codec.cpp
+++ b/src/peer/payload_codec.cpp
@@ -18,7 +18,7 @@
 {
     using Plain = std::variant_alternative_t<Index, Payload>;
     using Wire = decltype(toWire(std::declval<const Plain &>()));
-    return Payload {std::in_place_index<Index>, fromWire(fromCompact<Wire>(bytes))};
+    return Payload{std::in_place_index<Index>, fromWire(fromCompact<Wire>(bytes))};
 }
 
 using Decoder = Payload (*)(std::string_view);
@@ -29,12 +29,12 @@
     return {&decodeAlternative<Indices>...};
 }
 
-constexpr auto s_decoders = makeDecoders(std::make_index_sequence<std::variant_size_v<Payload>> {});
+constexpr auto s_decoders = makeDecoders(std::make_index_sequence<std::variant_size_v<Payload>>{});
 
 template<std::size_t... Indices>
 std::array<Channel, sizeof...(Indices)> makeChannels(std::index_sequence<Indices...>)
 {
-    return {channelOf(Payload {std::in_place_index<Indices>})...};
+    return {channelOf(Payload{std::in_place_index<Indices>})...};
 }
 
 bool isKnown(std::int32_t kind)
@@ -51,7 +51,7 @@
 
 std::optional<Channel> channelOfKind(std::int32_t kind)
 {
-    static const auto channels = makeChannels(std::make_index_sequence<std::variant_size_v<Payload>> {});
+    static const auto channels = makeChannels(std::make_index_sequence<std::variant_size_v<Payload>>{});
     if (!isKnown(kind)) {
         return std::nullopt;
     }
--- a/src/peer/payload_codec_test.cpp
+++ b/src/peer/payload_codec_test.cpp
@@ -56,13 +56,13 @@
 BOOST_AUTO_TEST_CASE(claimedSizesAreBounded)
 {
     // GossipBody with a list of structs that claims 2^31 - 1 elements, and a string that claims as many bytes.
-    const std::int32_t gossip = kindOf(membership::Gossip {});
+    const std::int32_t gossip = kindOf(membership::Gossip{});
     BOOST_TEST(!decodes(gossip, std::string("\x1c\x39\xfc\xff\xff\xff\xff\x07", 8)));
     BOOST_TEST(!decodes(gossip, std::string("\x1c\x1c\x28\xff\xff\xff\xff\x07", 8)));
     membership::GossipBody body;
     body.sender.info.emplace();
     body.updates.resize(257);
-    BOOST_TEST(!decodes(gossip, encodePayload(membership::Gossip {body})));
+    BOOST_TEST(!decodes(gossip, encodePayload(membership::Gossip{body})));
 }
 
 BOOST_AUTO_TEST_CASE(valuesOutOfBoundsAreRefused)
@@ -81,7 +81,7 @@
     auto negative = gossip;
     negative.body.announcement.drains = {1ULL << 63U};
     BOOST_TEST(!decodes(kind, encodePayload(negative)));
-    BOOST_TEST(!decodes(kindOf(HandoffPart {}), encodePayload(HandoffPart {{1}, {1, 2, 2, 0, ""}})));
+    BOOST_TEST(!decodes(kindOf(HandoffPart{}), encodePayload(HandoffPart{{1}, {1, 2, 2, 0, ""}})));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/peer/replay_window.cpp
+++ b/src/peer/replay_window.cpp
@@ -39,7 +39,7 @@
             m_recent.pop_back();
         }
         m_recent.push_front(sender);
-        found = m_senders.emplace(sender, Sender {{}, m_recent.begin()}).first;
+        found = m_senders.emplace(sender, Sender{{}, m_recent.begin()}).first;
     } else {
         m_recent.splice(m_recent.begin(), m_recent, found->second.place);
     }
--- a/src/peer/translate_members.cpp
+++ b/src/peer/translate_members.cpp
@@ -61,7 +61,7 @@
     out.status.drainGeneration = generationFromWire(value.drainGeneration);
     out.status.spareCapacity = checkedNumber<std::uint32_t>(value.spareCapacity);
     if (value.__isset.info) {
-        out.info = membership::MemberInfo {checkedText(value.info.name),
+        out.info = membership::MemberInfo{checkedText(value.info.name),
             checkedText(value.info.callerAddress),
             checkedText(value.info.peerAddress),
             checkedText(value.info.region),
--- a/src/platform/circuit_breaker.cpp
+++ b/src/platform/circuit_breaker.cpp
@@ -22,7 +22,7 @@
         return std::nullopt;
     }
     m_probing = m_state == BreakerState::HalfOpen;
-    return Permit {m_epoch};
+    return Permit{m_epoch};
 }
 
 void CircuitBreaker::recordSuccess(Permit permit)
--- a/src/platform/document_store.cpp
+++ b/src/platform/document_store.cpp
@@ -59,19 +59,19 @@
 SubmitResult DocumentStore::submit(const Submission &submission, const Call &call)
 {
     const std::optional<DocumentRow> current = row(submission.environment, call);
-    const std::vector<HistoryEntry> history = current ? current->history : std::vector<HistoryEntry> {};
+    const std::vector<HistoryEntry> history = current ? current->history : std::vector<HistoryEntry>{};
     const auto earlier = std::find_if(history.begin(), history.end(), [&](const HistoryEntry &entry) {
         return entry.submission == submission.id;
     });
     if (earlier != history.end()) {
-        return Accepted {earlier->generation};
+        return Accepted{earlier->generation};
     }
 
     const std::string hash = document::contentHash(submission.bytes);
     storeObject(*m_store, hash, submission.bytes, call);
 
-    const base::Generation next {current ? current->generation.value + 1 : 1};
-    PendingWrite pending {std::string(s_table),
+    const base::Generation next{current ? current->generation.value + 1 : 1};
+    PendingWrite pending{std::string(s_table),
         submission.environment,
         current ? current->version : 0,
         documentRowText(extended(history, {next, submission.id, hash, submission.acceptedAt})),
--- a/src/platform/drain_store.cpp
+++ b/src/platform/drain_store.cpp
@@ -27,7 +27,7 @@
     std::string_view name;
 };
 
-constexpr std::array<NamedKind, 4> s_kinds {{
+constexpr std::array<NamedKind, 4> s_kinds{{
     {engine::DrainKind::Upstream, "upstream"},
     {engine::DrainKind::Entry, "entry"},
     {engine::DrainKind::FailureDomain, "failure_domain"},
@@ -84,10 +84,10 @@
     DrainRow current = row(environment, call);
     for (int attempt = 0; attempt < s_conflictAttempts; ++attempt) {
         if (!applyTo(current.drains, change)) {
-            return DrainApplied {current.generation, false};
+            return DrainApplied{current.generation, false};
         }
-        const base::Generation next {current.generation.value + 1};
-        PendingWrite pending {std::string(s_table),
+        const base::Generation next{current.generation.value + 1};
+        PendingWrite pending{std::string(s_table),
             std::string(environment),
             current.version,
             drainRowText(extended(current.history, {next, std::string(submission), {}, {}}), current.drains),
@@ -95,7 +95,7 @@
             std::string(submission)};
         SubmitResult result = submitWrite(*m_store, std::move(pending), call);
         if (const auto *accepted = std::get_if<Accepted>(&result)) {
-            return DrainApplied {accepted->generation};
+            return DrainApplied{accepted->generation};
         }
         if (auto *unsettled = std::get_if<Unsettled>(&result)) {
             return std::move(*unsettled);
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -44,14 +44,14 @@
     if (bracketed) {
         address = address.substr(1, address.size() - 2);
     }
-    std::uint16_t port {};
+    std::uint16_t port{};
     const auto [end, error] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
     const bool portIsValid = error == std::errc() && end == portText.data() + portText.size() && port != 0;
     const bool isV6 = address.find(':') != std::string_view::npos;
     if (!portIsValid || isV6 != bracketed || !base::parseIpAddress(address)) {
         return std::nullopt;
     }
-    return Endpoint {std::string(address), port};
+    return Endpoint{std::string(address), port};
 }
 
 HttpError::HttpError(const std::string &message, bool nothingSent, bool timedOut)
@@ -122,7 +122,7 @@
             m_stream.reset();
             return false;
         }
-        char byte {};
+        char byte{};
         beast::error_code error;
         m_stream->socket().non_blocking(true, error);
         m_stream->socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
@@ -200,7 +200,7 @@
                 fail("receive", error, false);
             }
         }
-        HttpResponse response {parser.get().result_int(), std::move(parser.get().body())};
+        HttpResponse response{parser.get().result_int(), std::move(parser.get().body())};
         if (parser.get().keep_alive() && buffer.size() == 0) {
             m_lastUsed = steadyNow();
         } else {
@@ -222,7 +222,7 @@
 
     Endpoint m_endpoint;
     HttpOptions m_options;
-    asio::io_context m_context {1};
+    asio::io_context m_context{1};
     std::optional<beast::tcp_stream> m_stream; ///< absent, or connected with no exchange under way
     SteadyTime m_lastUsed; ///< end of the last response
 };
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -58,7 +58,7 @@
     if (!object.is_object() || !object.contains("version") || !object["version"].is_number_unsigned()) {
         return std::nullopt;
     }
-    Row row {object["version"].get<std::uint64_t>(), {}};
+    Row row{object["version"].get<std::uint64_t>(), {}};
     if (row.version != 0 && object.contains("value")) {
         row.value = object["value"].dump();
     }
@@ -96,7 +96,7 @@
     if ((kind != "entry" && kind != "upstream") || !incarnation) {
         return std::nullopt;
     }
-    return ListedInstance {stringField(object, "name"),
+    return ListedInstance{stringField(object, "name"),
         kind == "entry" ? ListedInstance::Kind::Entry : ListedInstance::Kind::Upstream,
         stringField(object, "failure_domain"),
         stringField(object, "address"),
--- a/src/platform/row_codec.cpp
+++ b/src/platform/row_codec.cpp
@@ -78,7 +78,7 @@
 
 json toJson(const HistoryEntry &entry)
 {
-    json object {{"generation", entry.generation.value}, {"submission", entry.submission}};
+    json object{{"generation", entry.generation.value}, {"submission", entry.submission}};
     if (!entry.hash.empty()) {
         object["hash"] = entry.hash;
     }
@@ -116,7 +116,7 @@
 DocumentRow parseDocumentRow(const Row &row)
 {
     const json object = parsed(row);
-    DocumentRow result {row.version, generation(object), text(object, "hash"), text(object, "submission"), text(object, "accepted_at", false), history(object)};
+    DocumentRow result{row.version, generation(object), text(object, "hash"), text(object, "submission"), text(object, "accepted_at", false), history(object)};
     const bool isHash = result.hash.size() == 64 && result.hash.find_first_not_of("0123456789abcdef") == std::string::npos;
     if (!isHash) {
         throw MalformedData("the row's hash is not 64 hexadecimal digits");
@@ -130,7 +130,7 @@
         return {};
     }
     const json object = parsed(row);
-    DrainRow result {row.version, generation(object), text(object, "submission"), {}, history(object)};
+    DrainRow result{row.version, generation(object), text(object, "submission"), {}, history(object)};
     const auto drains = object.find("drains");
     if (drains == object.end() || !drains->is_array()) {
         throw MalformedData("the row's drains are not an array");
@@ -145,7 +145,7 @@
 
 std::vector<HistoryEntry> parseHistory(const Row &row)
 {
-    return row.version == 0 ? std::vector<HistoryEntry> {} : history(parsed(row));
+    return row.version == 0 ? std::vector<HistoryEntry>{} : history(parsed(row));
 }
 
 std::string documentRowText(const std::vector<HistoryEntry> &entries)
@@ -174,7 +174,7 @@
 
 std::string claimRowText(std::string_view claimId, std::int64_t expiresAtMs)
 {
-    return json {{"claim", claimId}, {"expires_at_ms", expiresAtMs}}.dump();
+    return json{{"claim", claimId}, {"expires_at_ms", expiresAtMs}}.dump();
 }
 
 std::optional<ClaimRow> parseClaimRow(const Row &row)
@@ -184,7 +184,7 @@
         || !object["expires_at_ms"].is_number_integer()) {
         return std::nullopt;
     }
-    return ClaimRow {object["claim"].get<std::string>(), object["expires_at_ms"].get<std::int64_t>()};
+    return ClaimRow{object["claim"].get<std::string>(), object["expires_at_ms"].get<std::int64_t>()};
 }
 
 } // namespace trefoilstile::platform
--- a/src/platform/row_codec.hpp
+++ b/src/platform/row_codec.hpp
@@ -39,7 +39,7 @@
 
 struct ClaimRow {
     std::string claimId;
-    std::int64_t expiresAtMs {};
+    std::int64_t expiresAtMs{};
 };
 
 /// Nothing if the row is not of the agreed form.
--- a/src/platform/submission.cpp
+++ b/src/platform/submission.cpp
@@ -34,16 +34,16 @@
     try {
         history = parseHistory(row);
     } catch (const MalformedData &error) {
-        return Unsettled {std::move(pending), error.what()};
+        return Unsettled{std::move(pending), error.what()};
     }
     const HistoryEntry *entry = find(history, pending.generation);
     if (entry == nullptr) {
-        return Unsettled {pending, fmt::format("the history of {}/{} does not reach generation {}", pending.table, pending.key, pending.generation.value)};
+        return Unsettled{pending, fmt::format("the history of {}/{} does not reach generation {}", pending.table, pending.key, pending.generation.value)};
     }
     if (entry->submission == pending.submission) {
-        return Accepted {pending.generation};
+        return Accepted{pending.generation};
     }
-    return LostRace {*entry, row};
+    return LostRace{*entry, row};
 }
 
 /// Outcome of a write that was answered with a conflict and was made only once: it is lost, whatever the history says.
@@ -51,7 +51,7 @@
 {
     SubmitResult outcome = outcomeFromHistory(std::move(pending), row);
     if (std::holds_alternative<Unsettled>(outcome)) {
-        return LostRace {{}, row};
+        return LostRace{{}, row};
     }
     return outcome;
 }
@@ -62,7 +62,7 @@
 {
     try {
         const WriteResult result = store.writeRow(pending.table, pending.key, pending.ifVersion, pending.value, call);
-        return result.applied ? Accepted {pending.generation} : lostForCertain(std::move(pending), result.row);
+        return result.applied ? Accepted{pending.generation} : lostForCertain(std::move(pending), result.row);
     } catch (const OutcomeUnknown &) {
         return settle(store, std::move(pending), call);
     }
@@ -78,12 +78,12 @@
                 return outcomeFromHistory(std::move(pending), row);
             }
             const WriteResult result = store.writeRow(pending.table, pending.key, pending.ifVersion, pending.value, call);
-            return result.applied ? Accepted {pending.generation} : outcomeFromHistory(std::move(pending), result.row);
+            return result.applied ? Accepted{pending.generation} : outcomeFromHistory(std::move(pending), result.row);
         } catch (const PlatformError &error) {
             reason = error.what();
         }
     }
-    return Unsettled {std::move(pending), reason};
+    return Unsettled{std::move(pending), reason};
 }
 
 } // namespace trefoilstile::platform
--- a/src/shift/capacity_advert_test.cpp
+++ b/src/shift/capacity_advert_test.cpp
@@ -19,7 +19,7 @@
 constexpr int s_senders = 12;
 constexpr double s_capacity = 1200; // requests/s
 constexpr int s_lag = 5; // measurement periods of 1 s
-constexpr base::TimePoint s_start {};
+constexpr base::TimePoint s_start{};
 
 /// Sender without damping: takes its whole share of each measurement.
 class GreedyRate
--- a/src/shift/commitment_ledger.cpp
+++ b/src/shift/commitment_ledger.cpp
@@ -41,7 +41,7 @@
     if (responses == 0) {
         return {};
     }
-    m_grants.emplace(++m_lastGrant, Grant {link, unitsEach, responses, maximumTtl});
+    m_grants.emplace(++m_lastGrant, Grant{link, unitsEach, responses, maximumTtl});
     return {m_lastGrant, responses};
 }
 
--- a/src/shift/commitment_ledger_test.cpp
+++ b/src/shift/commitment_ledger_test.cpp
@@ -12,12 +12,12 @@
 
 namespace
 {
-const RegionPair s_link {"bkk", "cnx"};
-constexpr base::TimePoint s_ready = base::TimePoint {} + 60s;
+const RegionPair s_link{"bkk", "cnx"};
+constexpr base::TimePoint s_ready = base::TimePoint{} + 60s;
 
 struct Fixture {
-    ShiftBudget budget {{1}, base::TimePoint {}};
-    CommitmentLedger ledger {budget};
+    ShiftBudget budget{{1}, base::TimePoint{}};
+    CommitmentLedger ledger{budget};
 
     Fixture()
     {
--- a/src/shift/loan_book.cpp
+++ b/src/shift/loan_book.cpp
@@ -27,8 +27,8 @@
     if (m_borrowed.size() >= s_maximumLoans || lease > m_options.maximumLease || lease <= base::Duration::zero() || amount == 0) {
         return std::nullopt;
     }
-    const LoanRequest request {{m_self, ++m_lastSequence}, lender, m_generation, link, resource, amount, lease};
-    m_borrowed.emplace(request.id, Borrowed {request, now + scaled(lease, 1 - m_options.leaseMargin), 0});
+    const LoanRequest request{{m_self, ++m_lastSequence}, lender, m_generation, link, resource, amount, lease};
+    m_borrowed.emplace(request.id, Borrowed{request, now + scaled(lease, 1 - m_options.leaseMargin), 0});
     return request;
 }
 
@@ -63,7 +63,7 @@
     if (found == m_borrowed.end()) {
         return std::nullopt;
     }
-    const LoanReturn message {id, found->second.request.lender};
+    const LoanReturn message{id, found->second.request.lender};
     m_borrowed.erase(found);
     return message;
 }
@@ -76,15 +76,15 @@
         return std::nullopt;
     }
     if (const auto found = m_lent.find(request.id); found != m_lent.end()) {
-        return found->second.returned ? std::nullopt : std::optional(LoanGrant {request.id, m_self, found->second.amount});
+        return found->second.returned ? std::nullopt : std::optional(LoanGrant{request.id, m_self, found->second.amount});
     }
     const Units amount = std::min(request.amount, lendable);
     if (request.generation != m_generation || amount == 0 || m_lent.size() >= s_maximumLoans) {
         return std::nullopt;
     }
     const base::TimePoint goneUntil = now + scaled(request.lease, 1 + m_options.leaseMargin) + m_options.localWindow();
-    m_lent.emplace(request.id, Lent {request, goneUntil, amount});
-    return LoanGrant {request.id, m_self, amount};
+    m_lent.emplace(request.id, Lent{request, goneUntil, amount});
+    return LoanGrant{request.id, m_self, amount};
 }
 
 Units LoanBook::lent(const RegionPair &link, Resource resource, base::TimePoint now)
--- a/src/shift/quota_account.cpp
+++ b/src/shift/quota_account.cpp
@@ -26,7 +26,7 @@
     : m_urgentReserve(options.urgentReserve)
     , m_interactiveReserve(options.interactiveReserve)
     , m_unit(unit)
-    , m_used {SlidingWindow(options.localWindow()), SlidingWindow(options.localWindow()), SlidingWindow(options.localWindow())}
+    , m_used{SlidingWindow(options.localWindow()), SlidingWindow(options.localWindow()), SlidingWindow(options.localWindow())}
 {
 }
 
--- a/src/shift/shift_budget.cpp
+++ b/src/shift/shift_budget.cpp
@@ -41,8 +41,8 @@
     for (const document::ShiftCap &cap : document.shiftCaps) {
         for (const Resource resource : {Resource::Requests, Resource::Bytes}) {
             const double rate = resource == Resource::Requests ? cap.requestsPerSecond : cap.bytesPerSecond;
-            const Key key {{cap.from, cap.to}, resource};
-            auto &account = m_accounts.try_emplace(key, Account {0, QuotaAccount(m_options, unitOf(resource))}).first->second;
+            const Key key{{cap.from, cap.to}, resource};
+            auto &account = m_accounts.try_emplace(key, Account{0, QuotaAccount(m_options, unitOf(resource))}).first->second;
             // The cap is a rate per second; the window may be another span.
             account.quota = quotaOf(rate * base::toSeconds(m_options.window), resource, document.maximumEntryInstances);
         }
--- a/src/shift/shift_budget_test.cpp
+++ b/src/shift/shift_budget_test.cpp
@@ -13,8 +13,8 @@
 
 namespace
 {
-const RegionPair s_link {"bkk", "cnx"};
-constexpr base::TimePoint s_start {};
+const RegionPair s_link{"bkk", "cnx"};
+constexpr base::TimePoint s_start{};
 constexpr base::TimePoint s_ready = s_start + 60s;
 
 document::SteeringDocument documentWith(double requests, double bytes, std::uint32_t instances)
--- a/src/shift/window_budget_test.cpp
+++ b/src/shift/window_budget_test.cpp
@@ -40,7 +40,7 @@
 {
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 300), rc::gen::inRange(1, 8)));
     WindowBudget budget(10, 1s);
-    base::TimePoint now {};
+    base::TimePoint now{};
     std::vector<Use> uses;
     for (const auto &[milliseconds, amount] : steps) {
         now += std::chrono::milliseconds(milliseconds);
@@ -52,14 +52,14 @@
 // A fixed window that is reset each second lets two quotas through around the reset; the check must see that.
 BOOST_AUTO_TEST_CASE(theCheckFailsForAFixedWindow)
 {
-    std::vector<Use> uses {{base::TimePoint {} + 900ms, 10}, {base::TimePoint {} + 1100ms, 10}};
+    std::vector<Use> uses{{base::TimePoint{} + 900ms, 10}, {base::TimePoint{} + 1100ms, 10}};
     BOOST_TEST(peak(uses) == 20U);
 }
 
 BOOST_AUTO_TEST_CASE(useCountsForExactlyOneWindow)
 {
     WindowBudget budget(2, 1s);
-    const base::TimePoint start {};
+    const base::TimePoint start{};
     BOOST_TEST(budget.tryTake(2, start));
     BOOST_TEST(!budget.tryTake(1, start + 1s - 1ns));
     BOOST_TEST(budget.tryTake(1, start + 1s));
@@ -72,7 +72,7 @@
     SlidingWindow window(1s);
     std::size_t most = 0;
     for (int i = 0; i < 200'000; ++i) {
-        window.record(1, base::TimePoint {} + i * 20us);
+        window.record(1, base::TimePoint{} + i * 20us);
         most = std::max(most, window.slots());
     }
     BOOST_TEST(most <= 130U);
--- a/src/steering/generation_holder.cpp
+++ b/src/steering/generation_holder.cpp
@@ -29,7 +29,7 @@
 void GenerationHolder::raiseMismatch(const DocumentVersion &version, base::TimePoint now)
 {
     if (!m_mismatch || version.generation > m_mismatch->seen.generation) {
-        m_mismatch = Alarm {s_documentHashMismatch, now, version};
+        m_mismatch = Alarm{s_documentHashMismatch, now, version};
     }
 }
 
@@ -49,7 +49,7 @@
     if (version.generation >= m_announcement.document.generation) {
         m_regressed.reset();
     } else if (requested >= m_adopted && !m_regressed) {
-        m_regressed = Alarm {s_documentRegressed, now, version};
+        m_regressed = Alarm{s_documentRegressed, now, version};
     }
     if (verdict == Verdict::Mismatch) {
         raiseMismatch(version, now);
--- a/src/steering/generation_holder_test.cpp
+++ b/src/steering/generation_holder_test.cpp
@@ -15,12 +15,12 @@
 
 base::TimePoint at(int seconds)
 {
-    return base::TimePoint {} + std::chrono::seconds(seconds);
+    return base::TimePoint{} + std::chrono::seconds(seconds);
 }
 
 DocumentVersion version(std::uint64_t generation, const char *hash)
 {
-    return {base::Generation {generation}, hash};
+    return {base::Generation{generation}, hash};
 }
 
 } // namespace
--- a/src/steering/rendezvous.cpp
+++ b/src/steering/rendezvous.cpp
@@ -19,7 +19,7 @@
         weighted.emplace_back(base::mixBits(candidate.value ^ seed), candidate);
     }
     const std::size_t kept = std::min(count, weighted.size());
-    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(), std::greater<> {});
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(), std::greater<>{});
     std::vector<base::IncarnationId> chosen;
     chosen.reserve(kept);
     for (std::size_t i = 0; i < kept; ++i) {
--- a/tools/standin_platform/main.cpp
+++ b/tools/standin_platform/main.cpp
@@ -21,7 +21,7 @@
     }
 
     const auto colon = listen.rfind(':');
-    std::uint16_t port {};
+    std::uint16_t port{};
     const char *end = listen.data() + listen.size();
     if (colon == std::string::npos || std::from_chars(listen.data() + colon + 1, end, port).ptr != end || colon + 1 == listen.size()) {
         fmt::print(stderr, "--listen {}: must be IP:port\n", listen);
--- a/tools/standin_platform/server.cpp
+++ b/tools/standin_platform/server.cpp
@@ -56,7 +56,7 @@
     void handleRequest()
     {
         auto &message = m_parser->get();
-        const Request request {
+        const Request request{
             std::string(message.method_string()), std::string(message.target()), std::string(message["If-Version"]), std::move(message.body())};
         m_keepAlive = message.keep_alive();
         m_answer = m_service.handle(request, now());
--- a/tools/standin_platform/service.cpp
+++ b/tools/standin_platform/service.cpp
@@ -20,7 +20,7 @@
 
 Response failure(unsigned status, std::string_view message)
 {
-    return {.status = status, .body = json {{"error", message}}.dump()};
+    return {.status = status, .body = json{{"error", message}}.dump()};
 }
 
 json toJson(const StoredRow &row)
@@ -68,7 +68,7 @@
 
 std::optional<std::uint64_t> parseVersion(std::string_view text)
 {
-    std::uint64_t version {};
+    std::uint64_t version{};
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
     if (error != std::errc() || end != text.data() + text.size()) {
         return std::nullopt;
@@ -203,7 +203,7 @@
     for (const auto &[table, counted] : m_tables.counters()) {
         tables[table] = toJson(counted);
     }
-    const json all {{"tables", tables},
+    const json all{{"tables", tables},
         {"objects", toJson(m_objectCounters)},
         {"instances", {{"reads", m_instanceReads}}},
         {"limited", m_limited},
@@ -250,7 +250,7 @@
     }
     if (!key.empty() && request.method == "GET") {
         const std::optional<StoredRow> row = m_tables.read(table, key);
-        return row ? Response {.body = toJson(*row).dump()} : failure(404, "no such row");
+        return row ? Response{.body = toJson(*row).dump()} : failure(404, "no such row");
     }
     if (!key.empty() && (request.method == "PUT" || request.method == "DELETE")) {
         return writeRow(request, table, key);
@@ -277,7 +277,7 @@
     if (!version) {
         return {.status = 409, .body = toJson(m_tables.current(table, key)).dump()};
     }
-    Response response {.body = json {{"version", *version}}.dump()};
+    Response response{.body = json{{"version", *version}}.dump()};
     if (m_faults.loseWriteAnswers > 0) {
         --m_faults.loseWriteAnswers;
         ++m_answersLost;
@@ -291,7 +291,7 @@
     if (request.method == "GET") {
         ++m_objectCounters.reads;
         const auto object = m_objects.find(hash);
-        return object == m_objects.end() ? failure(404, "no such object") : Response {.body = object->second};
+        return object == m_objects.end() ? failure(404, "no such object") : Response{.body = object->second};
     }
     if (request.method != "PUT") {
         return failure(405, "method not allowed");
@@ -299,7 +299,7 @@
     ++m_objectCounters.writes;
     // The bytes are not checked against the name: tests store damaged objects.
     m_objects[std::string(hash)] = request.body;
-    Response response {.body = "{}"};
+    Response response{.body = "{}"};
     if (m_faults.loseObjectAnswers > 0) {
         --m_faults.loseObjectAnswers;
         ++m_answersLost;
--- a/tools/standin_platform/service.hpp
+++ b/tools/standin_platform/service.hpp
@@ -34,20 +34,20 @@
 
 struct Response {
     unsigned status = 200;
-    std::string body {};
+    std::string body{};
     Delivery delivery = Delivery::Respond;
-    base::Duration delay {}; ///< from the request to the delivery
+    base::Duration delay{}; ///< from the request to the delivery
 };
 
 /// Faults as `POST /_faults` sets them. Fields that a request leaves out keep their value.
 struct Faults {
-    base::Duration latency {};
+    base::Duration latency{};
     std::optional<Delivery> unreachable; ///< `NeverRespond` or `Reset`; such requests take no effect
-    std::uint64_t loseWriteAnswers {}; ///< next row writes that take effect without a response
-    std::uint64_t loseObjectAnswers {}; ///< likewise for objects
-    base::Duration instancesLag {};
-    double readsPerSecond {}; ///< 0: no limit
-    double writesPerSecond {}; ///< 0: no limit
+    std::uint64_t loseWriteAnswers{}; ///< next row writes that take effect without a response
+    std::uint64_t loseObjectAnswers{}; ///< likewise for objects
+    base::Duration instancesLag{};
+    double readsPerSecond{}; ///< 0: no limit
+    double writesPerSecond{}; ///< 0: no limit
 };
 
 /// Token bucket that holds at most one second of requests.
@@ -58,7 +58,7 @@
     bool take(double perSecond, base::TimePoint now);
 
 private:
-    double m_tokens {};
+    double m_tokens{};
     std::optional<base::TimePoint> m_last;
 };
 
@@ -90,9 +90,9 @@
     RateLimit m_readLimit;
     RateLimit m_writeLimit;
     TableCounters m_objectCounters;
-    std::uint64_t m_instanceReads {};
-    std::uint64_t m_limited {};
-    std::uint64_t m_answersLost {};
+    std::uint64_t m_instanceReads{};
+    std::uint64_t m_limited{};
+    std::uint64_t m_answersLost{};
 };
 
 } // namespace trefoilstile::standin
--- a/tools/standin_platform/tables.cpp
+++ b/tools/standin_platform/tables.cpp
@@ -37,7 +37,7 @@
         ++counted.conflicts;
         return std::nullopt;
     }
-    m_tables[std::string(table)][std::string(key)] = StoredRow {++m_lastVersion, std::move(value)};
+    m_tables[std::string(table)][std::string(key)] = StoredRow{++m_lastVersion, std::move(value)};
     return m_lastVersion;
 }
 
@@ -60,7 +60,7 @@
         return {};
     }
     const auto row = rows->second.find(key);
-    return row == rows->second.end() ? StoredRow {} : row->second;
+    return row == rows->second.end() ? StoredRow{} : row->second;
 }
 
 const std::map<std::string, TableCounters, std::less<>> &Tables::counters() const
--- a/tools/standin_platform/tables.hpp
+++ b/tools/standin_platform/tables.hpp
@@ -13,7 +13,7 @@
 
 /// Row of a table. `value` is JSON text.
 struct StoredRow {
-    std::uint64_t version {}; ///< 0 stands for a row that does not exist
+    std::uint64_t version{}; ///< 0 stands for a row that does not exist
     std::string value;
 };
 
@@ -24,9 +24,9 @@
 
 /// Requests counted for one table.
 struct TableCounters {
-    std::uint64_t reads {};
-    std::uint64_t writes {}; ///< conflicts included
-    std::uint64_t conflicts {};
+    std::uint64_t reads{};
+    std::uint64_t writes{}; ///< conflicts included
+    std::uint64_t conflicts{};
 };
 
 /// Tables with conditional writes. Versions come from one counter, so that a row that was deleted and made anew never
@@ -55,7 +55,7 @@
 
     std::map<std::string, Rows, std::less<>> m_tables;
     std::map<std::string, TableCounters, std::less<>> m_counters;
-    std::uint64_t m_lastVersion {};
+    std::uint64_t m_lastVersion{};
 };
 
 } // namespace trefoilstile::standin
