--- a/src/upstream/concurrency_limit.cpp
+++ b/src/upstream/concurrency_limit.cpp
@@ -43,7 +43,7 @@
 
 void ConcurrencyLimit::observe(LimitSignal signal, base::PriorityClass priorityClass, base::Duration latency, std::uint32_t inFlight, base::TimePoint now)
 {
-    const bool inUse = static_cast<double>(inFlight) >= s_inUse * m_value;
+    const bool inUse = static_cast<double>(inFlight) >= s_inUse * std::floor(m_value);
     if (!inUse && m_observedAt) {
         const double elapsed = std::max(0.0, base::toSeconds(now - *m_observedAt));
         m_value += (m_initial - m_value) * (1.0 - std::exp(-elapsed / base::toSeconds(m_options.relaxation)));
--- /dev/null
+++ b/src/upstream/upstream_set_test.cpp
@@ -0,0 +1,294 @@
+// Guards against work for upstreams that are leaving, ejected, excluded or full, and against units of concurrency that
+// are lost or counted twice.
+
+#include "trefoilstile/upstream/upstream_set.hpp"
+
+#include <numeric>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "trefoilstile/upstream/slot_split.hpp"
+
+using namespace trefoilstile;
+using namespace trefoilstile::upstream;
+using namespace std::chrono_literals;
+using base::PriorityClass;
+using engine::AttemptResult;
+
+namespace
+{
+
+const std::vector<SplitMember> s_members {{"e1", "r1"}, {"e2", "r1"}, {"e3", "r2"}, {"e4", "r2"}};
+
+UpstreamSetConfig config(std::size_t upstreams = 8)
+{
+    UpstreamSetConfig result;
+    result.instance = "e1";
+    result.maximumEntryInstances = 6;
+    for (std::size_t index = 0; index < upstreams; ++index) {
+        const std::string region = index % 4 < 2 ? "r1" : "r2";
+        const std::string domain = region + (index % 2 == 0 ? "a" : "b");
+        result.upstreams.push_back({"u" + std::to_string(index), "10.0.0.1:" + std::to_string(index), domain, region, 4, index % 2 == 0 ? 60U : 12U, 1.0});
+    }
+    return result;
+}
+
+struct Fixture {
+    UpstreamSet set {config()};
+    base::SplitMix64 random {7};
+    PowerOfTwoChoices policy;
+    base::TimePoint now {1s};
+    std::vector<DomainIndex> domains = set.domainsFrom("r1a", "r1", false);
+
+    Fixture()
+    {
+        set.updateInstances(s_members);
+    }
+
+    std::optional<Choice> choose(bool idempotent = true, std::span<const std::size_t> excluded = {})
+    {
+        return set.choose({PriorityClass::Interactive, idempotent, excluded, domains, false}, now, random, policy);
+    }
+
+    void finish(const Choice &choice, AttemptResult result = AttemptResult::Completed, bool leaving = false)
+    {
+        set.finished(choice, PriorityClass::Interactive, {result, 10ms, leaving, false}, now, random);
+    }
+
+    void failAt(std::size_t index, AttemptResult result = AttemptResult::Failed)
+    {
+        for (int count = 0; count < 5; ++count) {
+            std::vector<std::size_t> others(set.size());
+            std::iota(others.begin(), others.end(), std::size_t {});
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+            const auto choice = choose(false, others);
+            BOOST_REQUIRE(choice.has_value());
+            finish(*choice, result);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamSets, Fixture)
+
+BOOST_AUTO_TEST_CASE(localFailureDomainComesFirst)
+{
+    std::vector<std::string> used;
+    while (const auto choice = choose()) {
+        used.push_back(set.upstream(choice->index).failureDomain);
+    }
+    BOOST_TEST(used.size() == set.concurrency(domains, now));
+    BOOST_TEST(std::is_sorted(used.begin(), used.end()));
+    BOOST_TEST(used.front() == "r1a");
+    BOOST_TEST(used.back() == "r1b");
+}
+
+// The parts of all instances must add up to the slots, or the upstream is overloaded or partly idle.
+RC_BOOST_FIXTURE_PROP(slotPartsAddUp, Fixture, (std::uint8_t slots, std::uint8_t instances))
+{
+    std::vector<std::string> names;
+    for (int index = 0; index <= instances % 16; ++index) {
+        names.push_back("e" + std::to_string(index));
+    }
+    std::uint32_t total = 0;
+    for (const std::string &name : names) {
+        total += slotPart("u", slots, names, name);
+    }
+    RC_ASSERT(total == slots);
+}
+
+BOOST_AUTO_TEST_CASE(excludedUpstreamsAreNotChosen)
+{
+    const auto first = choose();
+    BOOST_REQUIRE(first.has_value());
+    const std::array tried {first->index};
+    while (const auto choice = choose(true, tried)) {
+        BOOST_TEST(choice->index != first->index);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(leavingUpstreamGetsNothingNewAndFinishesItsWork)
+{
+    const auto choice = choose();
+    BOOST_REQUIRE(choice.has_value());
+    const std::uint32_t before = set.concurrency(domains, now);
+    const std::array drains {engine::Drain {engine::DrainKind::FailureDomain, "r1a"}};
+    set.drainsUpdated({1}, drains, now);
+    BOOST_TEST(set.leaving(choice->index));
+    BOOST_TEST(set.allowed(choice->index, now) == 0);
+    BOOST_TEST(set.concurrency(domains, now) < before);
+    while (const auto other = choose()) {
+        BOOST_TEST(set.upstream(other->index).failureDomain == "r1b");
+    }
+    finish(*choice);
+    BOOST_TEST(set.inFlight(choice->index) == 0);
+}
+
+// An older list that arrives late must not decide about upstreams that are added later.
+BOOST_AUTO_TEST_CASE(olderDrainListIsIgnored)
+{
+    const std::array drains {engine::Drain {engine::DrainKind::Region, "r1"}};
+    set.drainsUpdated({3}, drains, now);
+    set.drainsUpdated({2}, {}, now);
+    UpstreamSetConfig next = config();
+    next.upstreams.push_back({"new", "10.0.0.2:1", "r1a", "r1", 4, 60, 1.0});
+    set.update(next, now);
+    BOOST_TEST(set.leaving(*set.find("u0")));
+    BOOST_TEST(set.leaving(*set.find("new")));
+    set.drainsUpdated({4}, {}, now);
+    BOOST_TEST(!set.leaving(*set.find("new")));
+}
+
+BOOST_AUTO_TEST_CASE(headerMakesAnUpstreamLeaveAtOnce)
+{
+    const auto choice = choose();
+    BOOST_REQUIRE(choice.has_value());
+    finish(*choice, AttemptResult::Completed, true);
+    BOOST_TEST(set.leaving(choice->index));
+    set.loadReported({set.upstream(choice->index).name, {1}, engine::UpstreamState::Live, 4, 0, 0}, now);
+    BOOST_TEST(!set.leaving(choice->index));
+    BOOST_TEST(set.limit(choice->index).ramp(now) < 1.0);
+}
+
+// A request that is not idempotent must never be the one that tests a failed upstream.
+BOOST_AUTO_TEST_CASE(onlyIdempotentRequestsProbe)
+{
+    failAt(0);
+    BOOST_TEST(set.ejected(0));
+    now += 10s;
+    for (int count = 0; count < 50; ++count) {
+        const auto choice = choose(false);
+        BOOST_REQUIRE(choice.has_value());
+        BOOST_TEST(choice->index != 0);
+        finish(*choice);
+    }
+    const auto probe = choose(true);
+    BOOST_REQUIRE(probe.has_value());
+    BOOST_TEST(probe->index == 0);
+    BOOST_TEST(probe->probe);
+    BOOST_TEST(choose(true)->index != 0);
+    finish(*probe);
+    BOOST_TEST(!set.ejected(0));
+    BOOST_TEST(set.limit(0).ramp(now) < 1.0);
+}
+
+// When most upstreams look dead the fault is likelier on this side; ejecting them all would serve nobody.
+BOOST_AUTO_TEST_CASE(widespreadFailureIsDistrusted)
+{
+    UpstreamSetOptions options;
+    options.splitSlots = false;
+    set = UpstreamSet(config(), options);
+    for (const std::size_t index : {0U, 1U, 4U, 5U}) {
+        failAt(index, AttemptResult::NothingSent);
+    }
+    BOOST_TEST(!set.distrusted()); // four of eight
+    BOOST_TEST(set.allowed(0, now) == 0);
+    domains = set.domainsFrom("r1a", "r1", true);
+    failAt(2);
+    BOOST_TEST(set.distrusted());
+    BOOST_TEST(set.allowed(0, now) > 0);
+    BOOST_TEST(choose(false).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(documentUpdateKeepsStateOfUpstreamsThatStay)
+{
+    failAt(0);
+    const auto held = choose(false);
+    BOOST_REQUIRE(held.has_value());
+    UpstreamSetConfig next = config();
+    next.upstreams.erase(next.upstreams.begin() + static_cast<std::ptrdiff_t>(held->index));
+    next.upstreams.push_back({"new", "10.0.0.2:1", "r1a", "r1", 4, 60, 1.0});
+    next.upstreams[0].weight = 2.0;
+    set.update(next, now);
+    domains = set.domainsFrom("r1a", "r1", false);
+    BOOST_TEST(set.ejected(0));
+    BOOST_TEST(!set.present(held->index));
+    BOOST_TEST(set.inFlight(held->index) == 1);
+    BOOST_TEST(*set.find("new") != held->index);
+    BOOST_TEST(set.limit(*set.find("new")).ramp(now) < 1.0);
+    finish(*held);
+    BOOST_TEST(set.inFlight() == 0);
+    // Another address is another process, of which nothing is known.
+    next.upstreams[0].address = "10.0.0.9:1";
+    set.update(next, now);
+    BOOST_TEST(!set.ejected(*set.find("u0")));
+}
+
+BOOST_AUTO_TEST_CASE(urgentMayGoOneBeyondTheLimit)
+{
+    while (choose()) {}
+    ChoiceRequest request {PriorityClass::Urgent, false, {}, domains, false};
+    BOOST_TEST(!set.choose(request, now, random, policy).has_value());
+    request.beyondLimit = true;
+    BOOST_TEST(set.choose(request, now, random, policy).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(roundRobinTakesTurns)
+{
+    RoundRobin turns;
+    const std::array candidates {Candidate {2, 0, 1}, Candidate {5, 0, 1}, Candidate {6, 0, 1}};
+    std::vector<std::size_t> order;
+    for (int count = 0; count < 4; ++count) {
+        order.push_back(candidates.at(turns.select(candidates, random)).index);
+    }
+    BOOST_TEST(order == (std::vector<std::size_t> {2, 5, 6, 2}), boost::test_tools::per_element());
+}
+
+// Every event in any order: no choice of an unusable upstream, no unit lost, no ceiling passed.
+RC_BOOST_FIXTURE_PROP(invariantsHoldAfterEveryEvent, Fixture, (const std::vector<std::array<std::uint8_t, 3>> &events))
+{
+    std::vector<Choice> held;
+    std::uint64_t generation = 0;
+    for (const auto &[kind, first, second] : events) {
+        now += std::chrono::milliseconds(20 * second);
+        const std::string name = "u" + std::to_string(first % 8);
+        switch (kind % 8) {
+        case 0:
+            set.loadReported({name, {1 + second % 3U}, static_cast<engine::UpstreamState>(second % 3), 4, first % 5U, 0}, now);
+            break;
+        case 1:
+            set.listedLeaving(name, {1 + second % 3U});
+            break;
+        case 2: {
+            const std::array drains {engine::Drain {engine::DrainKind::Upstream, name}};
+            set.drainsUpdated({++generation}, std::span(drains).first(second % 2), now);
+            break;
+        }
+        case 3: {
+            UpstreamSetConfig next = config();
+            next.upstreams.erase(next.upstreams.begin() + first % 8);
+            set.update(second % 2 == 0 ? next : config(), now);
+            domains = set.domainsFrom("r1a", "r1", second % 3 == 0);
+            break;
+        }
+        case 4:
+            if (!held.empty()) {
+                finish(held.back(), static_cast<AttemptResult>(first % 7), second % 16 == 0);
+                held.pop_back();
+            }
+            break;
+        default: {
+            const ChoiceRequest request {base::s_priorityClasses.at(first % 3), second % 2 == 0, {}, domains, first % 5 == 0};
+            const bool possible = set.canChoose(request, now);
+            if (const auto choice = set.choose(request, now, random, policy)) {
+                RC_ASSERT(set.present(choice->index) && !set.leaving(choice->index));
+                RC_ASSERT(!choice->probe || request.idempotent);
+                RC_ASSERT(choice->probe || !set.ejected(choice->index) || set.distrusted());
+                held.push_back(*choice);
+            } else {
+                RC_ASSERT(!possible);
+            }
+        }
+        }
+        RC_ASSERT(set.inFlight() == held.size());
+        RC_ASSERT(set.concurrency(domains, now) >= held.size());
+        for (std::size_t index = 0; index < set.size(); ++index) {
+            RC_ASSERT(set.inFlight(index) <= set.limit(index).ceiling());
+            RC_ASSERT(set.allowed(index, now) <= set.limit(index).ceiling());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
