--- a/include/trefoilstile/idempotency/key_table.hpp
+++ b/include/trefoilstile/idempotency/key_table.hpp
@@ -83,7 +83,13 @@
 {
 public:
     /// Throws `Error` if the options allow a key to be forgotten while it may still run.
-    KeyTable(KeyIssuer issuer, KeyTableOptions options = {});
+    explicit KeyTable(KeyIssuer issuer, KeyTableOptions options = {});
+
+    // The records hold places in the order of endings, which a copy would share.
+    KeyTable(const KeyTable &) = delete;
+    KeyTable &operator=(const KeyTable &) = delete;
+    KeyTable(KeyTable &&) = default;
+    KeyTable &operator=(KeyTable &&) = default;
 
     /// Decides what becomes of an arriving request. `repeat` is the caller's attempt number from 0, if it gave one.
     BeginResult begin(std::string_view key, Fingerprint fingerprint, base::RequestId id, base::TimePoint now, std::optional<std::uint32_t> repeat = {});
