--- /dev/null
+++ b/include/trefoilstile/daemon/messages.hpp
@@ -0,0 +1,169 @@
+// What the daemon's threads tell each other through rings.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/base/priority_class.hpp"
+#include "trefoilstile/base/time.hpp"
+#include "trefoilstile/engine/command.hpp"
+#include "trefoilstile/engine/engine.hpp"
+#include "trefoilstile/engine/event.hpp"
+#include "trefoilstile/http/load_poller.hpp"
+#include "trefoilstile/idempotency/issued_key.hpp"
+#include "trefoilstile/platform/circuit_breaker.hpp"
+#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/platform/drain_store.hpp"
+#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/routing/entry_choice.hpp"
+#include "trefoilstile/steering/generation_holder.hpp"
+#include "trefoilstile/steering/version.hpp"
+
+namespace trefoilstile::daemon
+{
+
+// To the decision thread.
+
+/// Work left at the caller port; sent while a planned stop is under way.
+struct CallerWork {
+    std::size_t connections{};
+    std::size_t requests{};
+    std::size_t attempts{};
+};
+
+/// SIGTERM has arrived.
+struct StopSignal {
+};
+
+/// From the caller I/O thread, the peer thread or the platform thread.
+using DecisionInput = std::variant<engine::Event, CallerWork, StopSignal>;
+
+// To the caller I/O thread.
+
+/// Everything that lookups need, replaced as a whole.
+struct LookupTable {
+    std::shared_ptr<const routing::EntryTable> entries;
+};
+
+/// Upstreams to poll and the limit of request bodies, from the document in effect.
+struct DocumentSettings {
+    std::vector<http::LoadTarget> loadTargets;
+    std::uint64_t bodyLimit{};
+};
+
+/// Steps of a planned stop.
+struct AnnounceStop {
+};
+struct StopAccepting {
+};
+
+using CallerInput = std::variant<engine::Command, LookupTable, DocumentSettings, AnnounceStop, StopAccepting>;
+
+// To the peer thread, which decides what comes into effect.
+
+/// Rows of the store as they were read.
+struct StoreRows {
+    base::TimePoint requested; ///< when the read was started
+    steering::DocumentVersion document; ///< generation 0 if there is no row
+    platform::DrainRow drains;
+};
+
+/// A document that was fetched, checked and parsed.
+struct FetchedDocument {
+    steering::DocumentVersion version;
+    std::shared_ptr<const document::SteeringDocument> document;
+    std::shared_ptr<const routing::BlockTable> blocks;
+    std::shared_ptr<const std::string> bytes;
+};
+
+/// A document could not be fetched or read.
+struct FetchFailed {
+    steering::DocumentVersion version;
+};
+
+/// The platform's instance list, as far as it concerns this system.
+struct InstanceList {
+    std::vector<platform::ListedInstance> instances;
+};
+
+/// What the decision thread has in effect.
+struct InEffect {
+    base::Generation generation;
+    base::Generation drainGeneration;
+    bool leaving = false;
+};
+
+using PeerInput = std::variant<StoreRows, FetchedDocument, FetchFailed, InstanceList, InEffect>;
+
+// To the platform thread.
+
+/// Read the rows of the documents and drains.
+struct PollRows {
+};
+
+/// Fetch a document by its hash, or parse the bytes that a peer gave.
+struct FetchDocument {
+    steering::DocumentVersion version;
+    std::shared_ptr<const std::string> bytes; ///< null: to be fetched from the store
+};
+
+/// Read the instance list.
+struct PollInstances {
+};
+
+using PlatformInput = std::variant<engine::ClaimKey, PollRows, FetchDocument, PollInstances>;
+
+// To the reporting thread.
+
+/// Time that one request spent; `name` is the metric.
+struct LatencySample {
+    const char *name = ""; ///< with static storage
+    std::string service;
+    base::PriorityClass priorityClass = base::PriorityClass::Interactive;
+    base::Duration latency{};
+};
+
+/// One more of something.
+struct CountSample {
+    const char *name = ""; ///< with static storage
+    std::string label; ///< value of the label `kind`
+};
+
+struct DecisionStatus {
+    base::Generation generation;
+    base::Generation drainGeneration;
+    bool leaving = false;
+    engine::EngineFigures figures;
+    std::shared_ptr<const routing::EntryTable> entries;
+};
+
+/// One member as status shows it.
+struct MemberStatusLine {
+    std::string name;
+    std::string region;
+    std::string failureDomain;
+    base::IncarnationId incarnation;
+    bool alive = true;
+    bool leaving = false;
+    base::Generation generation;
+    base::Generation drainGeneration;
+};
+
+struct PeerStatus {
+    std::string hash; ///< of the document in effect
+    std::string notReadyReason; ///< empty once a document is in effect
+    std::vector<MemberStatusLine> members;
+    std::vector<steering::Alarm> alarms;
+};
+
+struct PlatformStatus {
+    platform::BreakerState breaker = platform::BreakerState::Closed;
+};
+
+using ReportInput = std::variant<LatencySample, CountSample, DecisionStatus, PeerStatus, PlatformStatus>;
+
+} // namespace trefoilstile::daemon
--- a/include/trefoilstile/document/steering_document.hpp
+++ b/include/trefoilstile/document/steering_document.hpp
@@ -60,6 +60,9 @@
     std::optional<base::Duration> timeout; ///< from arrival to the first byte of the response; else the service's
 };
 
+/// Address of the upstream in the environment, or null if it has none there.
+const std::string *addressIn(const Upstream &upstream, std::string_view environment);
+
 struct RetryLimits {
     double budget = 0.1; ///< attempts beyond the first, as a share of first attempts; 0 to 1
     std::uint32_t maximumAttempts = 2; ///< 1 to 5, first attempt included
--- a/include/trefoilstile/engine/command.hpp
+++ b/include/trefoilstile/engine/command.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -62,6 +63,9 @@
     CallerDisconnected,
 };
 
+/// Name of the reason as it stands in metrics.
+std::string_view toString(RejectReason reason);
+
 /// Respond to the caller with a rejection; no part of a response has been passed on yet.
 struct Reject {
     base::RequestId id;
--- a/include/trefoilstile/engine/engine.hpp
+++ b/include/trefoilstile/engine/engine.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,11 +24,14 @@
 #include "trefoilstile/engine/command.hpp"
 #include "trefoilstile/engine/event.hpp"
 #include "trefoilstile/engine/held_request.hpp"
+#include "trefoilstile/engine/region_load.hpp"
 #include "trefoilstile/engine/service_state.hpp"
+#include "trefoilstile/engine/shift_gate.hpp"
 #include "trefoilstile/idempotency/key_table.hpp"
 #include "trefoilstile/idempotency/sealed_tables.hpp"
 #include "trefoilstile/routing/entry_choice.hpp"
 #include "trefoilstile/routing/route_table.hpp"
+#include "trefoilstile/shift/region_admission.hpp"
 
 namespace trefoilstile::engine
 {
@@ -41,6 +45,7 @@
     std::uint64_t seed = 0; ///< of jitter and tie-breaking
     base::Duration claimTimeout = std::chrono::seconds(2); ///< for one claim in the table service
     idempotency::KeyTableOptions keys;
+    shift::ShiftOptions shift;
 };
 
 /// Figures for status and metrics.
@@ -84,6 +89,13 @@
     base::Generation drainGeneration() const;
     EngineFigures figures() const;
 
+    /// Lookup responses that may name entries of another region; changes are told by `grantsVersion`.
+    const std::vector<PlacedGrant> &grants() const;
+    std::uint64_t grantsVersion() const;
+
+    /// Spare capacity of the own region in requests/s, 0 if it is overloaded; nothing while its load is not known.
+    std::optional<double> spareCapacity(base::TimePoint now) const;
+
     /// True if this instance is drained by name, failure domain or region, or stopping.
     bool leaving() const;
 
@@ -123,6 +135,8 @@
     void on(ClaimEnded &event, base::TimePoint now);
     void on(RelayEnded &event, base::TimePoint now);
     void on(MembersUpdated &event, base::TimePoint now);
+    void on(CapacityReported &event, base::TimePoint now);
+    void on(GrantUsed &event, base::TimePoint now);
     void on(StopRequested &event, base::TimePoint now);
 
     // Keyed requests (keyed_requests.cpp).
@@ -135,6 +149,9 @@
     void admit(HeldRequest &request, base::TimePoint now);
     void dispatch(ServiceState &service, base::TimePoint now);
     bool startAttempt(ServiceState &service, const admission::StartedRequest &started, base::TimePoint now);
+    std::optional<upstream::Choice> chooseUpstream(HeldRequest &request, bool beyondLimit, base::TimePoint now);
+    bool canStart(const HeldRequest &request, base::TimePoint now);
+    bool mayForward(const HeldRequest &request, const RemoteRegion &remote, base::TimePoint now);
     void sendAttempt(HeldRequest &request, bool resume, base::TimePoint now);
     void endAttempt(HeldRequest &request, const AttemptEnded &event, base::TimePoint now);
     void applyDecision(HeldRequest &request, retry::RetryDecision decision, const AttemptEnded &event, base::TimePoint now);
@@ -149,10 +166,17 @@
     void reject(HeldRequest &request, std::uint16_t status, Outcome outcome, RejectReason reason, base::TimePoint now);
     void release(HeldRequest &request);
 
-    std::size_t slots(const ServiceState &service, base::TimePoint now) const;
+    // Regions (regions.cpp).
+    std::size_t slots(ServiceState &service, base::TimePoint now);
+    bool isOverflowing(const ServiceState &service, base::TimePoint now) const;
+    bool admitsFrom(const base::IpAddress &client, base::PriorityClass priorityClass, base::TimePoint now);
+    void updateRemotes(ServiceState &service);
+    void updateRegions(base::TimePoint now);
+    std::set<std::string> regionsWithoutEntries() const;
     void updateServices(base::TimePoint now);
     void updateMembers(ServiceState &service);
     void rebuildEntryTable();
+    bool servesLookups(const EntryMember &member) const;
     bool isDrained(const EntryMember &member) const;
 
     EngineOptions m_options;
@@ -175,6 +199,11 @@
     std::unordered_map<base::RequestId, HeldRequest> m_requests;
     std::uint64_t m_lastAttempt = 0; // attempt IDs are never used twice
 
+    ShiftGate m_gate;
+    std::uint64_t m_grantsVersion = 0; // grows with each change of the grants
+    RegionLoad m_regionLoad;
+    shift::RegionAdmission m_regionAdmission; // of requests of callers from other regions
+
     idempotency::KeyTable m_keys;
     idempotency::SealedTables m_sealedKeys; // of stopped peers
 };
--- a/include/trefoilstile/engine/event.hpp
+++ b/include/trefoilstile/engine/event.hpp
@@ -14,6 +14,7 @@
 #include "trefoilstile/document/steering_document.hpp"
 #include "trefoilstile/idempotency/stored_response.hpp"
 #include "trefoilstile/routing/block_table.hpp"
+#include "trefoilstile/shift/capacity_advert.hpp"
 
 namespace trefoilstile::engine
 {
@@ -143,6 +144,19 @@
     std::vector<EntryMember> members;
 };
 
+/// A new measurement of another region's spare capacity has arrived.
+struct CapacityReported {
+    std::string region;
+    shift::CapacityAdvert advert;
+};
+
+/// Lookup responses of a placed grant were given out, or will not be.
+struct GrantUsed {
+    std::uint64_t grantId{};
+    std::uint32_t spent{};
+    std::uint32_t returned{};
+};
+
 /// A planned stop has begun: lookup responses leave this instance out; requests go on until none is left.
 struct StopRequested {
 };
@@ -157,6 +171,8 @@
     ClaimEnded,
     RelayEnded,
     MembersUpdated,
+    CapacityReported,
+    GrantUsed,
     StopRequested>;
 
 } // namespace trefoilstile::engine
--- a/include/trefoilstile/engine/held_request.hpp
+++ b/include/trefoilstile/engine/held_request.hpp
@@ -49,6 +49,7 @@
     std::vector<std::size_t> tried; ///< upstream indices of earlier attempts
     base::AttemptId attempt; ///< valid while `Attempting`
     upstream::Choice choice; ///< valid while `Attempting`
+    std::string remote; ///< region of the upstream while `Attempting`, if it is not the own one
     base::TimePoint attemptStart;
 };
 
--- a/include/trefoilstile/engine/service_state.hpp
+++ b/include/trefoilstile/engine/service_state.hpp
@@ -16,6 +16,13 @@
 namespace trefoilstile::engine
 {
 
+/// Another region's failure domains that serve the service.
+struct RemoteRegion {
+    std::string name;
+    std::vector<upstream::DomainIndex> domains;
+    std::uint32_t running = 0; ///< attempts forwarded there
+};
+
 /// Scheduler, upstreams and retry budget of one service. Its address is stable while requests refer to it.
 struct ServiceState {
     ServiceState(std::string serviceName, const admission::SchedulerOptions &scheduling, const upstream::UpstreamSetConfig &upstreamConfig)
@@ -34,7 +41,8 @@
     upstream::PowerOfTwoChoices selection;
     retry::RetryBudget budget;
     retry::RetryPolicy retryPolicy;
-    std::vector<upstream::DomainIndex> domains; ///< failure domains that may serve it, in order of preference
+    std::vector<upstream::DomainIndex> domains; ///< of the own region, in order of preference
+    std::vector<RemoteRegion> remotes; ///< regions that the document allows to forward to, in order of preference
 };
 
 } // namespace trefoilstile::engine
--- /dev/null
+++ b/src/daemon/caller_duty.cpp
@@ -0,0 +1,131 @@
+// Passes events to the decision thread and carries out its commands; answers lookups by itself.
+
+#include "caller_duty.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "trefoilstile/http/clock.hpp"
+
+namespace trefoilstile::daemon
+{
+
+namespace
+{
+
+constexpr base::Duration s_workReportPeriod = std::chrono::milliseconds(50);
+constexpr base::Duration s_lookupRetry = std::chrono::seconds(2); // before jitter; short, since a document may come any moment
+constexpr double s_lookupRetrySpread = 0.5;
+
+/// Grants nothing: lookups stay within the home region.
+struct NoCommitments : routing::CommitmentSource {
+    bool take(std::string_view, std::string_view) override
+    {
+        return false;
+    }
+};
+
+http::LookupResponse errorResponse(std::uint16_t status, std::string_view message, base::Duration retryAfter)
+{
+    return {status, nlohmann::json{{"error", message}}.dump(), retryAfter};
+}
+
+} // namespace
+
+CallerDuty::CallerDuty(
+    boost::asio::io_context &context, const Settings &settings, idempotency::KeyIssuer keyIssuer, std::uint64_t seed, Ring<DecisionInput> &toDecisions)
+    : m_workTimer(context)
+    , m_keyIssuer(keyIssuer)
+    , m_random(seed)
+    , m_toDecisions(toDecisions)
+    , m_upstreams(context, {})
+    , m_server(context,
+          m_upstreams,
+          {.listenAddress = settings.callerAddress, .maximumRequests = s_maximumRequests},
+          {[this](engine::Event event) {
+               onEvent(std::move(event));
+           },
+              [this](const http::LookupRequest &request) {
+                  return lookup(request);
+              }})
+    , m_loadPoller(context, {.seed = seed + 1}, [this](engine::LoadReported report) {
+        m_toDecisions.tryPush(engine::Event(std::move(report))); // the next report replaces one that finds no room
+    })
+{
+}
+
+std::string CallerDuty::address() const
+{
+    return m_server.address();
+}
+
+void CallerDuty::onEvent(engine::Event event)
+{
+    const auto *arrival = std::get_if<engine::RequestArrived>(&event);
+    if (arrival != nullptr && m_toDecisions.free() <= s_maximumRequests * s_entriesPerRequest) {
+        const base::Duration retryAfter = base::jittered(s_lookupRetry, s_lookupRetrySpread, m_random);
+        m_server.execute(engine::Reject{arrival->id, 503, engine::Outcome::NotRun, engine::RejectReason::QueueFull, {}, {}, retryAfter});
+        return;
+    }
+    m_toDecisions.push(std::move(event));
+}
+
+void CallerDuty::take(CallerInput input)
+{
+    if (auto *command = std::get_if<engine::Command>(&input)) {
+        m_server.execute(std::move(*command));
+    } else if (auto *table = std::get_if<LookupTable>(&input)) {
+        m_entries = std::move(table->entries);
+    } else if (auto *settings = std::get_if<DocumentSettings>(&input)) {
+        m_loadPoller.setTargets(std::move(settings->loadTargets));
+        m_server.setBodyLimit(settings->bodyLimit);
+    } else if (std::holds_alternative<AnnounceStop>(input)) {
+        m_server.announceStop();
+    } else {
+        m_server.stopAccepting();
+        reportWork();
+    }
+}
+
+http::LookupResponse CallerDuty::lookup(const http::LookupRequest &request)
+{
+    const base::Duration retryAfter = base::jittered(s_lookupRetry, s_lookupRetrySpread, m_random);
+    if (!m_entries) {
+        return errorResponse(503, "no document is in effect yet", retryAfter);
+    }
+    const document::SteeringDocument &document = m_entries->document();
+    if (document.findService(request.service) == nullptr) {
+        return errorResponse(404, "unknown service", {});
+    }
+    NoCommitments commitments;
+    const routing::EntryChoice choice = m_entries->choose(request.client, commitments);
+    if (choice.entries.empty()) {
+        return errorResponse(503, "no entry instance may take this caller now", retryAfter);
+    }
+    nlohmann::json entries = nlohmann::json::array();
+    for (const routing::EntryCandidate *entry : choice.entries) {
+        entries.push_back({{"address", entry->address}, {"name", entry->name}, {"region", entry->region}, {"failure_domain", entry->failureDomain}});
+    }
+    const base::Duration ttl = base::jittered(document.lookup.ttl, document.lookup.jitter, m_random);
+    const nlohmann::json body{{"service", request.service},
+        {"generation", m_entries->generation().value},
+        {"ttl_ms", base::toMilliseconds(ttl)},
+        {"entries", std::move(entries)},
+        {"key_prefix", m_keyIssuer.prefix(http::now(), m_random)}};
+    return {200, body.dump(), {}};
+}
+
+void CallerDuty::reportWork()
+{
+    m_toDecisions.tryPush(CallerWork{m_server.connections(), m_server.requests(), m_server.attempts()}); // repeated soon
+    m_workTimer.expires_after(s_workReportPeriod);
+    m_workTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            reportWork();
+        }
+    });
+}
+
+} // namespace trefoilstile::daemon
--- /dev/null
+++ b/src/daemon/caller_duty.hpp
@@ -0,0 +1,54 @@
+// Duty of the caller I/O thread: requests and lookups of callers, attempts at upstreams, load polling.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "trefoilstile/base/random.hpp"
+#include "trefoilstile/daemon/messages.hpp"
+#include "trefoilstile/daemon/ring.hpp"
+#include "trefoilstile/daemon/settings.hpp"
+#include "trefoilstile/http/caller_server.hpp"
+#include "trefoilstile/http/load_poller.hpp"
+#include "trefoilstile/http/upstream_client.hpp"
+
+namespace trefoilstile::daemon
+{
+
+/// Requests held at most; each needs at most `s_entriesPerRequest` unread entries in the ring to the decision thread.
+inline constexpr std::size_t s_maximumRequests = 2048;
+
+/// Arrival, end of the running attempt and disconnect of one request.
+inline constexpr std::size_t s_entriesPerRequest = 3;
+
+class CallerDuty
+{
+public:
+    CallerDuty(
+        boost::asio::io_context &context, const Settings &settings, idempotency::KeyIssuer keyIssuer, std::uint64_t seed, Ring<DecisionInput> &toDecisions);
+
+    /// `IP:port` that callers use.
+    std::string address() const;
+
+    /// Takes one entry of the ring from the decision thread.
+    void take(CallerInput input);
+
+private:
+    void onEvent(engine::Event event);
+    http::LookupResponse lookup(const http::LookupRequest &request);
+    void reportWork();
+
+    boost::asio::steady_timer m_workTimer;
+    idempotency::KeyIssuer m_keyIssuer;
+    base::SplitMix64 m_random;
+    Ring<DecisionInput> &m_toDecisions;
+    std::shared_ptr<const routing::EntryTable> m_entries; // null until a document is in effect
+    http::UpstreamClient m_upstreams;
+    http::CallerServer m_server;
+    http::LoadPoller m_loadPoller;
+};
+
+} // namespace trefoilstile::daemon
--- /dev/null
+++ b/src/daemon/decision_duty.hpp
@@ -0,0 +1,81 @@
+// Duty of the decision thread: runs the engine and leads a planned stop.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "trefoilstile/daemon/messages.hpp"
+#include "trefoilstile/daemon/ring.hpp"
+#include "trefoilstile/daemon/settings.hpp"
+#include "trefoilstile/engine/engine.hpp"
+
+namespace trefoilstile::daemon
+{
+
+/// Rings that the decision thread writes to.
+struct DecisionOutputs {
+    Ring<CallerInput> *callers = nullptr;
+    Ring<PlatformInput> *platform = nullptr;
+    Ring<PeerInput> *peers = nullptr;
+    Ring<ReportInput> *reports = nullptr;
+};
+
+class DecisionDuty
+{
+public:
+    /// @param stopped called once, when a planned stop is complete
+    DecisionDuty(boost::asio::io_context &context, engine::EngineOptions options, DecisionOutputs outputs, std::function<void()> stopped);
+
+    /// Starts the periodic tick.
+    void start();
+
+    /// Takes one entry of a ring.
+    void take(DecisionInput input);
+
+    const idempotency::KeyIssuer &keyIssuer() const;
+
+private:
+    /// Steps of a planned stop, in order.
+    enum class StopStep { Running, Draining, Finishing, Done };
+
+    struct Timing {
+        base::TimePoint arrival;
+        std::string service;
+        base::PriorityClass priorityClass = base::PriorityClass::Interactive;
+    };
+
+    void takeEvent(engine::Event event);
+    void takeCommand(engine::Command command, base::TimePoint now);
+    void recordForward(const engine::Forward &forward, base::TimePoint now);
+    void recordEnd(base::RequestId id, const char *result, base::TimePoint now);
+    void publish();
+    void publishDocument();
+    void tick();
+    void reportStatus(base::TimePoint now);
+    void beginStop(base::TimePoint now);
+    void advanceStop(base::TimePoint now);
+    void sample(ReportInput input);
+
+    boost::asio::steady_timer m_timer;
+    std::string m_environment;
+    engine::Engine m_engine;
+    DecisionOutputs m_outputs;
+    std::function<void()> m_stopped;
+
+    std::shared_ptr<const routing::EntryTable> m_published; // last one sent to the caller I/O thread
+    base::Generation m_publishedGeneration;
+    std::optional<InEffect> m_announced; // last one sent to the peer thread
+    base::TimePoint m_nextStatus;
+    std::unordered_map<base::RequestId, Timing> m_timings; // of held requests
+
+    StopStep m_stopStep = StopStep::Running;
+    base::TimePoint m_drainedAt; // when cached lookup responses have expired
+    std::optional<CallerWork> m_work; // since the caller port was closed
+};
+
+} // namespace trefoilstile::daemon
--- /dev/null
+++ b/src/daemon/platform_duty.hpp
@@ -0,0 +1,46 @@
+// Duty of the platform thread: all requests to the platform, which may block, and the parsing of documents.
+#pragma once
+
+#include <string>
+
+#include "trefoilstile/daemon/messages.hpp"
+#include "trefoilstile/daemon/ring.hpp"
+#include "trefoilstile/daemon/settings.hpp"
+#include "trefoilstile/platform/claim_store.hpp"
+#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/platform/drain_store.hpp"
+#include "trefoilstile/platform/platform_client.hpp"
+
+namespace trefoilstile::daemon
+{
+
+struct PlatformOutputs {
+    Ring<DecisionInput> *decisions = nullptr;
+    Ring<PeerInput> *peers = nullptr;
+    Ring<ReportInput> *reports = nullptr;
+};
+
+class PlatformDuty
+{
+public:
+    PlatformDuty(const Settings &settings, std::uint64_t seed, PlatformOutputs outputs);
+
+    /// Takes one entry of a ring. Blocks for as long as the platform takes, within the client's time limits.
+    void take(PlatformInput input);
+
+private:
+    void run(const engine::ClaimKey &claim);
+    void run(const PollRows &);
+    void run(const FetchDocument &fetch);
+    void run(const PollInstances &);
+    void reportBreaker();
+
+    std::string m_environment;
+    platform::PlatformClient m_client;
+    platform::DocumentStore m_documents;
+    platform::DrainStore m_drains;
+    platform::ClaimStore m_claims;
+    PlatformOutputs m_outputs;
+};
+
+} // namespace trefoilstile::daemon
--- a/src/document/steering_document.cpp
+++ b/src/document/steering_document.cpp
@@ -11,6 +11,15 @@
 namespace trefoilstile::document
 {
 
+const std::string *addressIn(const Upstream &upstream, std::string_view environment)
+{
+    auto address = upstream.addresses.find(environment);
+    if (address == upstream.addresses.end()) {
+        address = upstream.addresses.find("*");
+    }
+    return address == upstream.addresses.end() ? nullptr : &address->second;
+}
+
 const Region &SteeringDocument::regionOf(std::string_view failureDomain) const
 {
     for (const Region &region : regions) {
--- a/src/engine/attempts.cpp
+++ b/src/engine/attempts.cpp
@@ -13,11 +13,6 @@
 /// Least time that an attempt needs to be worth starting; a shorter one would only load the upstream.
 constexpr base::Duration s_leastAttemptTime = std::chrono::milliseconds(5);
 
-upstream::ChoiceRequest choiceRequest(const HeldRequest &request, bool beyondLimit)
-{
-    return {request.priorityClass, request.idempotent, request.tried, request.service->domains, beyondLimit};
-}
-
 std::uint16_t statusOf(AttemptResult result)
 {
     switch (result) {
@@ -71,11 +66,11 @@
 
 void Engine::dispatch(ServiceState &service, base::TimePoint now)
 {
-    const auto canStart = [this, &service, now](const admission::QueuedRequest &queued) {
+    const auto accepts = [this, now](const admission::QueuedRequest &queued) {
         const HeldRequest *request = find(queued.id);
-        return request != nullptr && service.upstreams.canChoose(choiceRequest(*request, false), now);
+        return request != nullptr && canStart(*request, now);
     };
-    while (const std::optional<admission::StartedRequest> started = service.scheduler.next(now, slots(service, now), canStart)) {
+    while (const std::optional<admission::StartedRequest> started = service.scheduler.next(now, slots(service, now), accepts)) {
         if (!startAttempt(service, *started, now)) {
             return;
         }
@@ -85,7 +80,7 @@
 bool Engine::startAttempt(ServiceState &service, const admission::StartedRequest &started, base::TimePoint now)
 {
     HeldRequest &request = *find(started.request.id);
-    const std::optional<upstream::Choice> choice = service.upstreams.choose(choiceRequest(request, started.beyondSlots), now, m_random, service.selection);
+    const std::optional<upstream::Choice> choice = chooseUpstream(request, started.beyondSlots, now);
     if (!choice) {
         service.scheduler.cancelled(request.priorityClass);
         service.scheduler.requeue(started.request);
@@ -125,7 +120,7 @@
     command.connectTimeout = service.settings.connectTimeout;
     command.firstByteTimeout = request.deadline - now;
     command.idleTimeout = service.settings.idleTimeout;
-    command.linkTo = entry.region == m_options.region ? std::string() : entry.region;
+    command.linkTo = request.remote;
     m_commands.emplace_back(std::move(command));
 }
 
@@ -145,6 +140,9 @@
     ServiceState &service = *request.service;
     const bool abandoned = request.callerGone && event.result != AttemptResult::Completed;
     service.upstreams.finished(request.choice, request.priorityClass, {event.result, event.latency, event.upstreamLeaving, abandoned}, now, m_random);
+    for (RemoteRegion &remote : service.remotes) {
+        remote.running -= remote.name == request.remote && remote.running > 0 ? 1 : 0;
+    }
     service.scheduler.finished(request.priorityClass, now - request.attemptStart, event.latency);
     request.responseStarted |= event.result == AttemptResult::Broken || event.result == AttemptResult::ObjectChanged;
     request.resumable |= event.resumable;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -10,6 +10,9 @@
 Engine::Engine(EngineOptions options, base::TimePoint now)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_gate(m_options.incarnation, m_options.region, now, m_options.shift)
+    , m_regionLoad(m_options.region)
+    , m_regionAdmission(m_options.shift)
     , m_keys(idempotency::KeyIssuer(m_options.incarnation, now), m_options.keys)
 {
 }
@@ -86,6 +89,7 @@
 void Engine::advance(base::TimePoint now)
 {
     expireWaiting(now);
+    updateRegions(now);
     for (auto &[name, service] : m_services) {
         expireQueued(*service, now);
         dispatch(*service, now);
@@ -122,6 +126,10 @@
     request.priorityClass = route.priorityClass;
     request.idempotent = route.idempotent;
     request.deadline = now + std::min(timeout, event.timeLeft.value_or(timeout));
+    if (!event.relayed && !admitsFrom(event.client, route.priorityClass, now)) {
+        reject(request, 503, Outcome::NotRun, RejectReason::ShiftCap, now);
+        return;
+    }
     if (!route.idempotent && !event.idempotencyKey.empty()) {
         request.key = event.idempotencyKey;
         request.fingerprint = event.fingerprint;
@@ -134,6 +142,7 @@
 
 void Engine::on(LoadReported &event, base::TimePoint now)
 {
+    m_regionLoad.record(event, now);
     for (auto &[name, service] : m_services) {
         service->upstreams.loadReported(event, now);
     }
@@ -168,6 +177,9 @@
     m_document = event.document;
     m_blocks = event.blocks;
     m_routes.emplace(*m_document);
+    m_gate.adopt(m_generation, *m_document);
+    ++m_grantsVersion;
+    m_regionLoad.adopt(*m_document);
     updateServices(now);
     rebuildEntryTable();
 }
@@ -209,6 +221,7 @@
         state->budget.setShare(service.retry.budget);
         state->retryPolicy = retry::RetryPolicy({.maximumAttempts = service.retry.maximumAttempts});
         state->domains = state->upstreams.domainsFrom(m_options.failureDomain, m_options.region, false);
+        updateRemotes(*state);
         updateMembers(*state);
     }
 }
@@ -231,14 +244,19 @@
     }
     std::vector<routing::EntryCandidate> candidates;
     for (const EntryMember &member : m_members) {
-        const bool stoppingSelf = m_stopping && member.incarnation == m_options.incarnation;
-        if (member.alive && !member.leaving && !stoppingSelf && !isDrained(member)) {
+        if (servesLookups(member)) {
             candidates.push_back({member.name, member.callerAddress, member.region, member.failureDomain});
         }
     }
     m_entryTable = std::make_shared<routing::EntryTable>(m_document, m_blocks, m_generation, std::move(candidates));
 }
 
+bool Engine::servesLookups(const EntryMember &member) const
+{
+    const bool stoppingSelf = m_stopping && member.incarnation == m_options.incarnation;
+    return member.alive && !member.leaving && !stoppingSelf && !isDrained(member);
+}
+
 bool Engine::isDrained(const EntryMember &member) const
 {
     return std::any_of(m_drains.begin(), m_drains.end(), [&member](const Drain &drain) {
@@ -257,7 +275,7 @@
 {
     Reject command{request.id, status, outcome, reason, {}, request.priorityClass, {}};
     if (request.service != nullptr) {
-        const ServiceState &service = *request.service;
+        ServiceState &service = *request.service;
         command.service = service.name;
         const double overload = service.scheduler.overload(request.priorityClass, now, slots(service, now));
         command.retryAfter = service.retryPolicy.retryAfter(overload, m_random);
@@ -280,9 +298,4 @@
     m_requests.erase(request.id);
 }
 
-std::size_t Engine::slots(const ServiceState &service, base::TimePoint now) const
-{
-    return service.upstreams.concurrency(service.domains, now);
-}
-
 } // namespace trefoilstile::engine
--- a/src/engine/engine_test.cpp
+++ b/src/engine/engine_test.cpp
@@ -63,7 +63,7 @@
 {
 public:
     Embedder()
-        : engine({"e1", "production", "north", "north-a", s_self, 1, 2s, {}}, now)
+        : engine({"e1", "production", "north", "north-a", s_self, 1, 2s, {}, {}}, now)
     {
         auto document = std::make_shared<document::SteeringDocument>(document::parseDocument(s_text));
         handle(DocumentUpdated{base::Generation{1}, document, std::make_shared<routing::BlockTable>()});
--- /dev/null
+++ b/src/engine/shift_gate.cpp
@@ -0,0 +1,172 @@
+// Counting of forwarded requests and placing of lookup grants.
+
+#include "trefoilstile/engine/shift_gate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace trefoilstile::engine
+{
+
+namespace
+{
+
+/// A link with a smaller quota could not pass one read buffer of a body within the window.
+constexpr shift::Units s_leastLinkBytes = 16U << 10U;
+
+/// Part of what is free that one placement of a grant takes, so that forwarding and later lookups find something left.
+constexpr std::uint32_t s_grantDivisor = 2;
+
+} // namespace
+
+ShiftGate::Target::Target(std::uint32_t senders, base::Duration warmUp)
+    : rate(senders)
+    , ramp(warmUp)
+{
+}
+
+ShiftGate::ShiftGate(base::IncarnationId self, std::string region, base::TimePoint startedAt, const shift::ShiftOptions &options)
+    : m_region(std::move(region))
+    , m_budget(self, startedAt, options)
+    , m_ledger(m_budget)
+{
+}
+
+void ShiftGate::adopt(base::Generation generation, const document::SteeringDocument &document)
+{
+    m_budget.adopt(generation, document);
+    m_targets.clear();
+    m_links.clear();
+    m_grants.clear();
+    base::Duration warmUp{};
+    for (const document::Service &service : document.services) {
+        warmUp = std::max(warmUp, service.warmUp);
+    }
+    for (const document::ShiftCap &cap : document.shiftCaps) {
+        if (cap.requestsPerSecond <= 0) {
+            continue;
+        }
+        m_links.push_back({cap.from, cap.to});
+        if (cap.from == m_region) {
+            m_targets.push_back(cap.to);
+            m_state.try_emplace(cap.to, document.maximumEntryInstances, warmUp);
+        }
+    }
+    m_unitsPerResponse = static_cast<shift::Units>(std::ceil(document.lookup.requestsPerResponse * static_cast<double>(shift::s_unitsPerRequest)));
+    m_maximumTtl = shift::scaled(document.lookup.ttl, 1 + document.lookup.jitter);
+}
+
+void ShiftGate::onAdvert(std::string_view region, const shift::CapacityAdvert &advert, base::TimePoint now)
+{
+    const auto target = m_state.find(region);
+    if (target != m_state.end()) {
+        target->second.rate.onAdvert(advert, now);
+    }
+}
+
+std::span<const std::string> ShiftGate::targets() const
+{
+    return m_targets;
+}
+
+shift::RegionPair ShiftGate::linkTo(std::string_view to) const
+{
+    return {m_region, std::string(to)};
+}
+
+double ShiftGate::rateTokens(Target &target, base::PriorityClass priorityClass, base::TimePoint now)
+{
+    const double rate = target.rate.rate(now);
+    const double elapsed = base::toSeconds(std::max(now - target.refilledAt, base::Duration::zero()));
+    target.tokens = std::min(target.tokens + rate * elapsed, rate + 1);
+    target.refilledAt = now;
+    // The ramp holds back the less urgent classes by asking them to leave tokens for urgent work.
+    return target.tokens - (1 - target.ramp.factor(priorityClass, now)) * rate;
+}
+
+std::uint32_t ShiftGate::available(std::string_view to, base::PriorityClass priorityClass, base::TimePoint now)
+{
+    const auto target = m_state.find(to);
+    if (target == m_state.end()) {
+        return 0;
+    }
+    const shift::RegionPair link = linkTo(to);
+    if (m_budget.ownQuota(link, shift::Resource::Bytes, now) < s_leastLinkBytes) {
+        return 0;
+    }
+    const shift::Units units = m_budget.available(link, shift::Resource::Requests, priorityClass, now);
+    const double tokens = std::max(0.0, rateTokens(target->second, priorityClass, now));
+    return std::min(static_cast<std::uint32_t>(units / shift::s_unitsPerRequest), static_cast<std::uint32_t>(tokens));
+}
+
+bool ShiftGate::tryTake(std::string_view to, base::PriorityClass priorityClass, base::TimePoint now)
+{
+    if (available(to, priorityClass, now) == 0 || !m_budget.tryTakeRequest(linkTo(to), priorityClass, now)) {
+        return false;
+    }
+    Target &target = m_state.find(to)->second;
+    target.tokens -= 1;
+    target.rate.onSent(1, now);
+    target.ramp.onSent(now);
+    return true;
+}
+
+std::uint32_t ShiftGate::wantedResponses(const shift::RegionPair &link, base::TimePoint now)
+{
+    const shift::Units units = m_budget.available(link, shift::Resource::Requests, base::PriorityClass::Bulk, now);
+    const auto responses = static_cast<std::uint32_t>(units / std::max<shift::Units>(m_unitsPerResponse, 1));
+    return responses <= 1 ? responses : responses / s_grantDivisor;
+}
+
+bool ShiftGate::placeGrants(const std::set<std::string> &withoutEntries, base::TimePoint now)
+{
+    m_ledger.tick(now);
+    const std::size_t before = m_grants.size();
+    std::erase_if(m_grants, [&](const PlacedGrant &grant) {
+        return withoutEntries.count(grant.from) == 0 || m_outstanding.count(grant.id) == 0;
+    });
+    bool changed = m_grants.size() != before;
+    for (const shift::RegionPair &link : m_links) {
+        const bool placed = std::any_of(m_grants.begin(), m_grants.end(), [&link](const PlacedGrant &grant) {
+            return grant.from == link.from && grant.to == link.to;
+        });
+        if (placed || withoutEntries.count(link.from) == 0 || withoutEntries.count(link.to) != 0) {
+            continue;
+        }
+        const shift::LookupGrant grant = m_ledger.grant(link, wantedResponses(link, now), m_unitsPerResponse, m_maximumTtl, now);
+        if (grant.id != 0 && grant.responses > 0) {
+            m_outstanding[grant.id] = {grant.responses, m_maximumTtl};
+            m_grants.push_back({link.from, link.to, grant.id, grant.responses});
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+const std::vector<PlacedGrant> &ShiftGate::grants() const
+{
+    return m_grants;
+}
+
+void ShiftGate::grantSpent(std::uint64_t id, std::uint32_t responses, base::TimePoint now)
+{
+    m_ledger.spent(id, responses, m_outstanding.at(id).maximumTtl, now);
+    reduceOutstanding(id, responses);
+}
+
+void ShiftGate::grantReturned(std::uint64_t id, std::uint32_t responses)
+{
+    m_ledger.returned(id, responses);
+    reduceOutstanding(id, responses);
+}
+
+void ShiftGate::reduceOutstanding(std::uint64_t id, std::uint32_t responses)
+{
+    Outstanding &outstanding = m_outstanding.at(id);
+    outstanding.responses -= responses;
+    if (outstanding.responses == 0) {
+        m_outstanding.erase(id);
+    }
+}
+
+} // namespace trefoilstile::engine
--- a/src/idempotency/key_model.cpp
+++ b/src/idempotency/key_model.cpp
@@ -23,7 +23,7 @@
     instance.peers = SealedTables();
     instance.requests.clear();
     instance.incarnation = {m_next++};
-    instance.table.emplace(KeyIssuer(instance.incarnation, m_now), KeyTableOptions {.maximumRecords = 6, .refusalReserve = 2, .maximumWaiters = 2});
+    instance.table.emplace(KeyIssuer(instance.incarnation, m_now), KeyTableOptions{.maximumRecords = 6, .refusalReserve = 2, .maximumWaiters = 2});
 }
 
 void Model::send(std::uint32_t a, std::uint32_t b)
@@ -34,7 +34,7 @@
         const bool issued = a % 2 == 0;
         key = issued ? KeyIssuer(instance.incarnation, m_now).prefixFor(m_now, m_next++) + "s" : "own-" + std::to_string(m_next++);
     }
-    Message message {.to = m_instances[(b >> 4U) % s_instances].incarnation, .attempt = {key, m_attempts[key]++}};
+    Message message{.to = m_instances[(b >> 4U) % s_instances].incarnation, .attempt = {key, m_attempts[key]++}};
     m_network.push_back(message);
 }
 
@@ -100,7 +100,7 @@
         }
         return;
     }
-    const base::RequestId id {m_next++};
+    const base::RequestId id{m_next++};
     auto result = instance.peers.answer(key, s_print, m_now);
     if (!result) {
         result = instance.table->begin(key, s_print, id, m_now, repeat(message.attempt));
@@ -246,11 +246,11 @@
 
 void Model::upstream(const Message &message, std::uint32_t b)
 {
-    Message reply {.kind = Kind::UpstreamReply, .to = message.from, .attempt = message.attempt, .request = message.request, .outcome = Outcome::NotRun};
+    Message reply{.kind = Kind::UpstreamReply, .to = message.from, .attempt = message.attempt, .request = message.request, .outcome = Outcome::NotRun};
     if ((b >> 4U) % 4 != 0) {
         run(message.attempt);
         reply.outcome = Outcome::Replay;
-        reply.response = std::make_shared<StoredResponse>(StoredResponse {200, "text/plain", message.attempt.key});
+        reply.response = std::make_shared<StoredResponse>(StoredResponse{200, "text/plain", message.attempt.key});
     }
     m_network.push_back(reply);
 }
--- a/src/idempotency/key_model.hpp
+++ b/src/idempotency/key_model.hpp
@@ -27,9 +27,9 @@
 };
 
 struct Step {
-    std::uint32_t kind {};
-    std::uint32_t a {};
-    std::uint32_t b {};
+    std::uint32_t kind{};
+    std::uint32_t a{};
+    std::uint32_t b{};
 };
 
 class Model
@@ -57,25 +57,25 @@
 private:
     static constexpr std::size_t s_instances = 4;
     static constexpr std::size_t s_keys = 4; ///< open at a time; two issued, two caller-generated
-    static constexpr Fingerprint s_print {1};
+    static constexpr Fingerprint s_print{1};
 
     struct Attempt {
         std::string key;
-        std::uint32_t number {};
+        std::uint32_t number{};
     };
     enum class Kind : std::uint8_t { Request, Reply, Claim, ClaimReply, Upstream, UpstreamReply, Sealed };
     struct Message {
         Kind kind = Kind::Request;
-        base::IncarnationId from {}; ///< 0: caller, store or upstream
-        base::IncarnationId to {}; ///< 0: caller, store or upstream
-        Attempt attempt {};
-        base::RequestId request {};
+        base::IncarnationId from{}; ///< 0: caller, store or upstream
+        base::IncarnationId to{}; ///< 0: caller, store or upstream
+        Attempt attempt{};
+        base::RequestId request{};
         bool relayed = false;
         Outcome outcome = Outcome::Unknown; ///< `Reply`; for `UpstreamReply`: `Replay` ran, `NotRun` rejected
-        StoredResponsePointer response {};
-        std::string claimId {};
+        StoredResponsePointer response{};
+        std::string claimId{};
         bool won = false;
-        std::vector<SealedPart> parts {};
+        std::vector<SealedPart> parts{};
     };
     enum class Stage : std::uint8_t { Claiming, Queued, Expired, Sent, Waiting };
     struct Held {
@@ -110,7 +110,7 @@
     }
 
     Fault m_fault;
-    base::TimePoint m_now {};
+    base::TimePoint m_now{};
     std::array<Instance, s_instances> m_instances;
     std::array<std::string, s_keys> m_keys;
     std::map<std::string, std::uint32_t> m_attempts; ///< sent so far
--- a/src/shift/shift_model.cpp
+++ b/src/shift/shift_model.cpp
@@ -11,7 +11,7 @@
 {
 using namespace std::chrono_literals;
 
-const RegionPair s_link {"bkk", "cnx"};
+const RegionPair s_link{"bkk", "cnx"};
 constexpr double s_drift = 0.1; ///< far above real clocks, so that errors show within few steps
 constexpr base::Duration s_ttl = 5s;
 
@@ -56,7 +56,7 @@
     instance.pausedAt.reset();
     instance.incarnation = {m_nextIncarnation++};
     instance.startedAt = m_now;
-    constexpr std::array<double, 3> rates {1 / (1 + s_drift), 1, 1 + s_drift};
+    constexpr std::array<double, 3> rates{1 / (1 + s_drift), 1, 1 + s_drift};
     instance.clockRate = rates[a % rates.size()];
     const base::Duration earlier = m_fault == Fault::NoStartHold ? 1h : 0s;
     instance.ledger.reset();
@@ -162,7 +162,7 @@
         instance.given.push_back(grant);
         responses += static_cast<int>(grant.responses);
         // The slowest caller's clock makes the TTL last longest.
-        record(instance, grant.responses * Units {500}, scaled(s_ttl, 1 + s_drift));
+        record(instance, grant.responses * Units{500}, scaled(s_ttl, 1 + s_drift));
     } else if (!instance.given.empty()) {
         instance.ledger->spent(instance.given.back().id, instance.given.back().responses, s_ttl, local(instance));
         instance.given.pop_back();
@@ -191,7 +191,7 @@
         return;
     }
     for (const Instance &lender : m_instances) {
-        m_network.push_back({lender.incarnation, {}, {}, LoanReturn {id, lender.incarnation}});
+        m_network.push_back({lender.incarnation, {}, {}, LoanReturn{id, lender.incarnation}});
     }
 }
 
--- a/src/shift/shift_model.hpp
+++ b/src/shift/shift_model.hpp
@@ -27,9 +27,9 @@
 };
 
 struct Step {
-    std::uint32_t kind {};
-    std::uint32_t a {};
-    std::uint32_t b {};
+    std::uint32_t kind{};
+    std::uint32_t a{};
+    std::uint32_t b{};
 };
 
 class Model
@@ -60,7 +60,7 @@
     };
     struct Instance {
         base::IncarnationId incarnation;
-        std::uint64_t generation {};
+        std::uint64_t generation{};
         double clockRate = 1;
         base::TimePoint startedAt; ///< true time
         std::optional<base::TimePoint> pausedAt; ///< local time
@@ -71,15 +71,15 @@
         std::vector<LoanId> asked;
     };
     struct Document {
-        std::uint64_t generation {};
-        double cap {};
-        std::uint32_t instances {};
+        std::uint64_t generation{};
+        double cap{};
+        std::uint32_t instances{};
         base::TimePoint lastInEffect; ///< true time up to which use under it counts
     };
     struct Use {
         base::TimePoint from;
         base::TimePoint to; ///< the same for a request; the end of the TTL for a commitment
-        Units units {};
+        Units units{};
     };
 
     base::TimePoint local(const Instance &instance) const;
@@ -99,7 +99,7 @@
 
     Fault m_fault;
     ShiftOptions m_options;
-    base::TimePoint m_now {}; ///< true time
+    base::TimePoint m_now{}; ///< true time
     std::array<Instance, s_instances> m_instances;
     std::vector<Document> m_documents; ///< oldest first
     std::vector<Message> m_network;
--- a/src/upstream/leaving_state_test.cpp
+++ b/src/upstream/leaving_state_test.cpp
@@ -16,27 +16,27 @@
 BOOST_AUTO_TEST_CASE(drainEndsOnlyWithAHigherGeneration)
 {
     LeavingState state;
-    state.drainListed(Generation {5}, true);
+    state.drainListed(Generation{5}, true);
     BOOST_TEST(state.leaving());
-    state.drainListed(Generation {4}, false);
-    state.drainListed(Generation {5}, false);
+    state.drainListed(Generation{4}, false);
+    state.drainListed(Generation{5}, false);
     BOOST_TEST(state.leaving());
-    state.reported(IncarnationId {1}, UpstreamState::Live);
-    state.reported(IncarnationId {2}, UpstreamState::Live);
+    state.reported(IncarnationId{1}, UpstreamState::Live);
+    state.reported(IncarnationId{2}, UpstreamState::Live);
     BOOST_TEST(state.leaving());
-    state.drainListed(Generation {6}, false);
+    state.drainListed(Generation{6}, false);
     BOOST_TEST(!state.leaving());
 }
 
 BOOST_AUTO_TEST_CASE(platformListIsLiftedOnlyByANewIncarnation)
 {
     LeavingState state;
-    state.reported(IncarnationId {1}, UpstreamState::Live);
-    state.platformListed(IncarnationId {1});
+    state.reported(IncarnationId{1}, UpstreamState::Live);
+    state.platformListed(IncarnationId{1});
     BOOST_TEST(state.leaving());
-    state.reported(IncarnationId {1}, UpstreamState::Live);
+    state.reported(IncarnationId{1}, UpstreamState::Live);
     BOOST_TEST(state.leaving());
-    state.reported(IncarnationId {2}, UpstreamState::Cold);
+    state.reported(IncarnationId{2}, UpstreamState::Cold);
     BOOST_TEST(!state.leaving());
 }
 
@@ -44,31 +44,31 @@
 BOOST_AUTO_TEST_CASE(platformListAboutAnotherIncarnationIsKeptForIt)
 {
     LeavingState state;
-    state.reported(IncarnationId {1}, UpstreamState::Live);
-    state.platformListed(IncarnationId {2});
+    state.reported(IncarnationId{1}, UpstreamState::Live);
+    state.platformListed(IncarnationId{2});
     BOOST_TEST(!state.leaving());
-    state.reported(IncarnationId {2}, UpstreamState::Live);
+    state.reported(IncarnationId{2}, UpstreamState::Live);
     BOOST_TEST(state.leaving());
     LeavingState unknown;
-    unknown.platformListed(IncarnationId {1});
+    unknown.platformListed(IncarnationId{1});
     BOOST_TEST(unknown.leaving());
-    unknown.reported(IncarnationId {1}, UpstreamState::Live);
+    unknown.reported(IncarnationId{1}, UpstreamState::Live);
     BOOST_TEST(unknown.leaving());
-    unknown.reported(IncarnationId {2}, UpstreamState::Live);
+    unknown.reported(IncarnationId{2}, UpstreamState::Live);
     BOOST_TEST(!unknown.leaving());
 }
 
 BOOST_AUTO_TEST_CASE(laterLiveReportLiftsHeaderAndLoadEndpoint)
 {
     LeavingState state;
-    state.reported(IncarnationId {1}, UpstreamState::Live);
-    state.responded(IncarnationId {1});
+    state.reported(IncarnationId{1}, UpstreamState::Live);
+    state.responded(IncarnationId{1});
     BOOST_TEST(state.leaving());
-    state.reported(IncarnationId {1}, UpstreamState::Live);
+    state.reported(IncarnationId{1}, UpstreamState::Live);
     BOOST_TEST(!state.leaving());
-    state.reported(IncarnationId {1}, UpstreamState::Leaving);
+    state.reported(IncarnationId{1}, UpstreamState::Leaving);
     BOOST_TEST(state.leaving());
-    state.reported(IncarnationId {1}, UpstreamState::Live);
+    state.reported(IncarnationId{1}, UpstreamState::Live);
     BOOST_TEST(!state.leaving());
 }
 
@@ -76,14 +76,14 @@
 BOOST_AUTO_TEST_CASE(replacedIncarnationsAreNotBelieved)
 {
     LeavingState state;
-    state.reported(IncarnationId {1}, UpstreamState::Live);
-    state.reported(IncarnationId {2}, UpstreamState::Live);
-    state.responded(IncarnationId {1});
+    state.reported(IncarnationId{1}, UpstreamState::Live);
+    state.reported(IncarnationId{2}, UpstreamState::Live);
+    state.responded(IncarnationId{1});
     BOOST_TEST(!state.leaving());
-    BOOST_TEST(!state.reported(IncarnationId {1}, UpstreamState::Leaving));
+    BOOST_TEST(!state.reported(IncarnationId{1}, UpstreamState::Leaving));
     BOOST_TEST(!state.leaving());
-    state.reported(IncarnationId {2}, UpstreamState::Leaving);
-    BOOST_TEST(!state.reported(IncarnationId {1}, UpstreamState::Live));
+    state.reported(IncarnationId{2}, UpstreamState::Leaving);
+    BOOST_TEST(!state.reported(IncarnationId{1}, UpstreamState::Live));
     BOOST_TEST(state.leaving());
 }
 
@@ -102,21 +102,21 @@
         const std::uint64_t id = 1 + value % 3;
         switch (kind % 4) {
         case 0:
-            state.drainListed(Generation {id + kind / 16U}, value % 2 == 0);
+            state.drainListed(Generation{id + kind / 16U}, value % 2 == 0);
             drained = id + kind / 16U > generation ? value % 2 == 0 : drained;
             generation = std::max<std::uint64_t>(generation, id + kind / 16U);
             break;
         case 1:
-            state.platformListed(IncarnationId {id});
+            state.platformListed(IncarnationId{id});
             listed.insert(id);
             listedUnknown = listedUnknown || !incarnation;
             break;
         case 2:
-            state.responded(incarnation ? std::optional(IncarnationId {id}) : std::nullopt);
+            state.responded(incarnation ? std::optional(IncarnationId{id}) : std::nullopt);
             own = own || !incarnation || id == *incarnation;
             break;
         default:
-            state.reported(IncarnationId {id}, value % 2 == 0 ? UpstreamState::Leaving : UpstreamState::Live);
+            state.reported(IncarnationId{id}, value % 2 == 0 ? UpstreamState::Leaving : UpstreamState::Live);
             if (!replaced.contains(id)) {
                 if (incarnation && *incarnation != id) {
                     replaced.insert(*incarnation);
--- a/src/upstream/upstream_set_test.cpp
+++ b/src/upstream/upstream_set_test.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-const std::vector<SplitMember> s_members {{"e1", "r1"}, {"e2", "r1"}, {"e3", "r2"}, {"e4", "r2"}};
+const std::vector<SplitMember> s_members{{"e1", "r1"}, {"e2", "r1"}, {"e3", "r2"}, {"e4", "r2"}};
 
 UpstreamSetConfig config(std::size_t upstreams = 8)
 {
@@ -35,10 +35,10 @@
 }
 
 struct Fixture {
-    UpstreamSet set {config()};
-    base::SplitMix64 random {7};
+    UpstreamSet set{config()};
+    base::SplitMix64 random{7};
     PowerOfTwoChoices policy;
-    base::TimePoint now {1s};
+    base::TimePoint now{1s};
     std::vector<DomainIndex> domains = set.domainsFrom("r1a", "r1", false);
 
     Fixture()
@@ -60,7 +60,7 @@
     {
         for (int count = 0; count < 5; ++count) {
             std::vector<std::size_t> others(set.size());
-            std::iota(others.begin(), others.end(), std::size_t {});
+            std::iota(others.begin(), others.end(), std::size_t{});
             others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
             const auto choice = choose(false, others);
             BOOST_REQUIRE(choice.has_value());
@@ -103,7 +103,7 @@
 {
     const auto first = choose();
     BOOST_REQUIRE(first.has_value());
-    const std::array tried {first->index};
+    const std::array tried{first->index};
     while (const auto choice = choose(true, tried)) {
         BOOST_TEST(choice->index != first->index);
     }
@@ -114,7 +114,7 @@
     const auto choice = choose();
     BOOST_REQUIRE(choice.has_value());
     const std::uint32_t before = set.concurrency(domains, now);
-    const std::array drains {engine::Drain {engine::DrainKind::FailureDomain, "r1a"}};
+    const std::array drains{engine::Drain{engine::DrainKind::FailureDomain, "r1a"}};
     set.drainsUpdated({1}, drains, now);
     BOOST_TEST(set.leaving(choice->index));
     BOOST_TEST(set.allowed(choice->index, now) == 0);
@@ -129,7 +129,7 @@
 // An older list that arrives late must not decide about upstreams that are added later.
 BOOST_AUTO_TEST_CASE(olderDrainListIsIgnored)
 {
-    const std::array drains {engine::Drain {engine::DrainKind::Region, "r1"}};
+    const std::array drains{engine::Drain{engine::DrainKind::Region, "r1"}};
     set.drainsUpdated({3}, drains, now);
     set.drainsUpdated({2}, {}, now);
     UpstreamSetConfig next = config();
@@ -219,7 +219,7 @@
 BOOST_AUTO_TEST_CASE(urgentMayGoOneBeyondTheLimit)
 {
     while (choose()) {}
-    ChoiceRequest request {PriorityClass::Urgent, false, {}, domains, false};
+    ChoiceRequest request{PriorityClass::Urgent, false, {}, domains, false};
     BOOST_TEST(!set.choose(request, now, random, policy).has_value());
     request.beyondLimit = true;
     BOOST_TEST(set.choose(request, now, random, policy).has_value());
@@ -228,12 +228,12 @@
 BOOST_AUTO_TEST_CASE(roundRobinTakesTurns)
 {
     RoundRobin turns;
-    const std::array candidates {Candidate {2, 0, 1}, Candidate {5, 0, 1}, Candidate {6, 0, 1}};
+    const std::array candidates{Candidate{2, 0, 1}, Candidate{5, 0, 1}, Candidate{6, 0, 1}};
     std::vector<std::size_t> order;
     for (int count = 0; count < 4; ++count) {
         order.push_back(candidates.at(turns.select(candidates, random)).index);
     }
-    BOOST_TEST(order == (std::vector<std::size_t> {2, 5, 6, 2}), boost::test_tools::per_element());
+    BOOST_TEST(order == (std::vector<std::size_t>{2, 5, 6, 2}), boost::test_tools::per_element());
 }
 
 // Every event in any order: no choice of an unusable upstream, no unit lost, no ceiling passed.
@@ -252,7 +252,7 @@
             set.listedLeaving(name, {1 + second % 3U});
             break;
         case 2: {
-            const std::array drains {engine::Drain {engine::DrainKind::Upstream, name}};
+            const std::array drains{engine::Drain{engine::DrainKind::Upstream, name}};
             set.drainsUpdated({++generation}, std::span(drains).first(second % 2), now);
             break;
         }
@@ -270,7 +270,7 @@
             }
             break;
         default: {
-            const ChoiceRequest request {base::s_priorityClasses.at(first % 3), second % 2 == 0, {}, domains, first % 5 == 0};
+            const ChoiceRequest request{base::s_priorityClasses.at(first % 3), second % 2 == 0, {}, domains, first % 5 == 0};
             const bool possible = set.canChoose(request, now);
             if (const auto choice = set.choose(request, now, random, policy)) {
                 RC_ASSERT(set.present(choice->index) && !set.leaving(choice->index));
