--- /dev/null
+++ b/src/platform/drain_store_test.cpp
@@ -0,0 +1,100 @@
+// Guards against a drain or undrain that another operator's change wipes out.
+
+#include "trefoilstile/platform/drain_store.hpp"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "fake_store.hpp"
+
+using namespace trefoilstile::platform;
+using testing::FakeStore;
+using testing::Fault;
+using trefoilstile::engine::Drain;
+using trefoilstile::engine::DrainKind;
+
+BOOST_AUTO_TEST_SUITE(DrainStores)
+
+// Operators drain different upstreams at once under every fault: who was told that it is done finds it in the list,
+// who was told that it is not finds it absent, and generations go up by one.
+RC_BOOST_PROP(racingOperatorsLoseNothing, (const std::vector<std::uint8_t> &faults, const std::vector<bool> &races))
+{
+    FakeStore store;
+    for (const std::uint8_t fault : faults) {
+        store.faults.push_back(static_cast<Fault>(fault % 5));
+    }
+    enum class Told : std::uint8_t { Done, NotDone, Unknown };
+    std::vector<Told> told(6, Told::Unknown);
+    std::size_t next = 0;
+    std::size_t race = 0;
+    const auto runNext = [&] {
+        const std::size_t operatorIndex = next++;
+        const std::string name = "u" + std::to_string(operatorIndex);
+        try {
+            const auto result = DrainStore(store).change("trial", {DrainChange::Action::Add, {DrainKind::Upstream, name}}, "s" + name);
+            told[operatorIndex] = std::holds_alternative<DrainApplied>(result) ? Told::Done : Told::Unknown;
+        } catch (const Unavailable &) {
+            told[operatorIndex] = Told::NotDone;
+        }
+    };
+    store.beforeRequest = [&] {
+        if (race < races.size() && races[race++] && next < told.size()) {
+            runNext();
+        }
+    };
+    while (next < told.size()) {
+        runNext();
+    }
+    store.beforeRequest = nullptr;
+    store.deliverDelayed();
+    store.faults.clear();
+    const DrainRow row = DrainStore(store).row("trial");
+    RC_ASSERT(row.generation.value == store.log["drains/trial"].size());
+    RC_ASSERT(row.drains.size() == row.generation.value);
+    for (std::size_t i = 0; i < told.size(); ++i) {
+        const bool listed = std::count(row.drains.begin(), row.drains.end(), Drain {DrainKind::Upstream, "u" + std::to_string(i)}) == 1;
+        RC_ASSERT(told[i] != Told::Done || listed);
+        RC_ASSERT(told[i] != Told::NotDone || !listed);
+    }
+}
+
+// A drain whose answer was lost, and which another operator has undrained since, must not come back by a retry.
+BOOST_AUTO_TEST_CASE(settledDrainIsNotRepeated)
+{
+    FakeStore store;
+    store.faults = {Fault::None, Fault::AnswerLost};
+    const Drain drain {DrainKind::Region, "malabar"};
+    int requests = 0;
+    store.beforeRequest = [&] {
+        if (++requests == 3) {
+            DrainStore(store).change("trial", {DrainChange::Action::Remove, drain}, "b");
+        }
+    };
+    const auto result = DrainStore(store).change("trial", {DrainChange::Action::Add, drain}, "a");
+    BOOST_TEST(std::get<DrainApplied>(result).generation.value == 1U);
+    BOOST_TEST(DrainStore(store).row("trial").drains.empty());
+}
+
+BOOST_AUTO_TEST_CASE(repeatedChangeMakesNoGeneration)
+{
+    FakeStore store;
+    DrainStore drains(store);
+    const DrainChange change {DrainChange::Action::Add, {DrainKind::Entry, "e1"}};
+    drains.change("trial", change, "a");
+    const auto again = std::get<DrainApplied>(drains.change("trial", change, "b"));
+    BOOST_TEST(!again.changed);
+    BOOST_TEST(again.generation.value == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(kindNames)
+{
+    BOOST_TEST((drainKindFromString("failure-domain") == DrainKind::FailureDomain));
+    BOOST_TEST(!drainKindFromString("rack").has_value());
+    for (const auto kind : {DrainKind::Upstream, DrainKind::Entry, DrainKind::FailureDomain, DrainKind::Region}) {
+        BOOST_TEST((drainKindFromString(toString(kind)) == kind));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
