--- a/include/trefoilstile/base/ip.hpp
+++ b/include/trefoilstile/base/ip.hpp
@@ -12,23 +12,24 @@
 
 /// IPv4 or IPv6 address as a 128-bit number in two halves.
 struct IpAddress {
-    std::uint64_t high {};
-    std::uint64_t low {};
+    std::uint64_t high{};
+    std::uint64_t low{};
 
     /// True for an IPv4-mapped address.
     bool isV4() const;
 
-    friend constexpr auto operator<=>(const IpAddress &, const IpAddress &) = default;
+    // The check takes the 0 in rewritten comparisons such as a < b for a null pointer; the same holds for blocks below.
+    friend constexpr auto operator<=>(const IpAddress &, const IpAddress &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Block of addresses that share their first `prefixLength` bits.
 struct IpBlock {
     IpAddress first; ///< bits after the prefix are zero
-    std::uint8_t prefixLength {}; ///< 0 to 128, counted in the 128-bit form
+    std::uint8_t prefixLength{}; ///< 0 to 128, counted in the 128-bit form
 
     bool contains(const IpAddress &address) const;
 
-    friend constexpr auto operator<=>(const IpBlock &, const IpBlock &) = default;
+    friend constexpr auto operator<=>(const IpBlock &, const IpBlock &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Address read from its usual text form, or nothing.
