Let holders extend loans

Cause: a loan of one lease is usable for 0.9 of the lease and gone for 1.1 of it and a window, so with 5 s a lender's quota would be of use to somebody for 69% of the time. Ruled out: overlapping new loans, since the lender has nothing left to grant until the first ends. Before: loans ended after one lease. After: rounds of the same loan under the same rule; a lender that uses more than half of what it has left does not extend.

--- a/include/trefoilstile/shift/loan_book.hpp
+++ b/include/trefoilstile/shift/loan_book.hpp
@@ -8,6 +8,10 @@
 // loan before it sends the return and never reopens its ID, so a late, repeated or reordered grant has no effect.
 // Repeated requests get the same grant; lost messages only leave the amount unused until it expires.
 //
+// An extension is a further round of the same loan, under the same rule: the holder's time runs from before it asked for
+// that round, the lender's from when it granted it, and the lender extends only what it still counts as gone. A grant
+// counts for the latest round only.
+//
 // A loan belongs to one document generation. A holder that adopts another one stops using the loan at once, so an old
 // document has no effect through loans once no instance uses it.
 #pragma once
@@ -46,6 +50,7 @@
     Resource resource = Resource::Requests;
     Units amount {};
     base::Duration lease {};
+    std::uint32_t round {}; ///< 0 asks for a new loan, a higher number for its extension by another lease
 };
 
 /// Lender to holder. The lease runs from before the request was sent.
@@ -53,6 +58,7 @@
     LoanId id;
     base::IncarnationId lender;
     Units amount {}; ///< at most what was asked for
+    std::uint32_t round {};
 };
 
 /// Holder to lender: the holder has stopped using the loan for good.
@@ -71,6 +77,9 @@
     std::optional<LoanRequest> ask(
         base::IncarnationId lender, const RegionPair &link, Resource resource, Units amount, base::Duration lease, base::TimePoint now);
 
+    /// Holder: makes a request to extend a loan in use; nothing if there is no such loan any more.
+    std::optional<LoanRequest> renew(const LoanId &id, base::TimePoint now);
+
     /// Holder: takes a grant into use; false if it is late, unknown, repeated or from another lender.
     bool accept(const LoanGrant &grant, base::TimePoint now);
 
@@ -80,8 +89,9 @@
     /// Holder: closes a loan, asked for or in use, and makes the message for the lender.
     std::optional<LoanReturn> giveBack(const LoanId &id);
 
-    /// Lender: grants up to `lendable`; nothing if the request is for another incarnation or document, or none is left.
-    std::optional<LoanGrant> consider(const LoanRequest &request, Units lendable, base::TimePoint now);
+    /// Lender: grants up to `lendable`, or extends a loan if `mayExtend`; nothing if the request is for another
+    /// incarnation or document, or none is left.
+    std::optional<LoanGrant> consider(const LoanRequest &request, Units lendable, bool mayExtend, base::TimePoint now);
 
     /// Lender: amount in the hands of others, or perhaps still there.
     Units lent(const RegionPair &link, Resource resource, base::TimePoint now);
@@ -96,6 +106,7 @@
     struct Borrowed {
         LoanRequest request;
         base::TimePoint usableUntil;
+        base::TimePoint roundUntil; ///< what `usableUntil` becomes when the round asked for last is granted
         Units amount {}; ///< 0 until granted
     };
     struct Lent {
@@ -105,6 +116,7 @@
         bool returned = false;
     };
 
+    base::TimePoint goneUntil(const LoanRequest &request, base::TimePoint now) const;
     void dropExpired(base::TimePoint now);
 
     base::IncarnationId m_self;
--- a/include/trefoilstile/shift/shift_budget.hpp
+++ b/include/trefoilstile/shift/shift_budget.hpp
@@ -67,7 +67,8 @@
     /// a request, of no use here, may be lent whole.
     Units lendable(const RegionPair &link, Resource resource, base::TimePoint now);
 
-    /// Lender: answer to a request of another instance, if any.
+    /// Lender: answer to a request of another instance, if any. Loans are extended while the lender uses at most half of
+    /// what it has left.
     std::optional<LoanGrant> onLoanRequest(const LoanRequest &request, base::TimePoint now);
 
     /// Holder side and returns.
--- a/src/shift/loan_book.cpp
+++ b/src/shift/loan_book.cpp
@@ -27,24 +27,44 @@
     if (m_borrowed.size() >= s_maximumLoans || lease > m_options.maximumLease || lease <= base::Duration::zero() || amount == 0) {
         return std::nullopt;
     }
-    const LoanRequest request {{m_self, ++m_lastSequence}, lender, m_generation, link, resource, amount, lease};
-    m_borrowed.emplace(request.id, Borrowed {request, now + scaled(lease, 1 - m_options.leaseMargin), 0});
+    const LoanRequest request {{m_self, ++m_lastSequence}, lender, m_generation, link, resource, amount, lease, 0};
+    const base::TimePoint until = now + scaled(lease, 1 - m_options.leaseMargin);
+    m_borrowed.emplace(request.id, Borrowed {request, until, until, 0});
     return request;
 }
 
+std::optional<LoanRequest> LoanBook::renew(const LoanId &id, base::TimePoint now)
+{
+    dropExpired(now);
+    const auto found = m_borrowed.find(id);
+    if (found == m_borrowed.end() || found->second.amount == 0) {
+        return std::nullopt;
+    }
+    Borrowed &loan = found->second;
+    ++loan.request.round;
+    loan.roundUntil = now + scaled(loan.request.lease, 1 - m_options.leaseMargin);
+    return loan.request;
+}
+
 bool LoanBook::accept(const LoanGrant &grant, base::TimePoint now)
 {
     dropExpired(now);
     const auto found = m_borrowed.find(grant.id);
-    if (found == m_borrowed.end() || found->second.amount != 0) {
+    if (found == m_borrowed.end()) {
         return false;
     }
-    const LoanRequest &request = found->second.request;
-    if (request.lender != grant.lender || grant.amount > request.amount) {
+    Borrowed &loan = found->second;
+    if (loan.request.lender != grant.lender || loan.request.round != grant.round || grant.amount > loan.request.amount) {
         return false;
     }
-    found->second.amount = grant.amount;
-    return true;
+    if (grant.round == 0) {
+        const bool first = loan.amount == 0;
+        loan.amount = first ? grant.amount : loan.amount;
+        return first;
+    }
+    const bool extended = loan.usableUntil < loan.roundUntil;
+    loan.usableUntil = std::max(loan.usableUntil, loan.roundUntil);
+    return extended;
 }
 
 Units LoanBook::borrowed(const RegionPair &link, Resource resource, base::TimePoint now)
@@ -68,7 +88,7 @@
     return message;
 }
 
-std::optional<LoanGrant> LoanBook::consider(const LoanRequest &request, Units lendable, base::TimePoint now)
+std::optional<LoanGrant> LoanBook::consider(const LoanRequest &request, Units lendable, bool mayExtend, base::TimePoint now)
 {
     dropExpired(now);
     const bool lease = request.lease > base::Duration::zero() && request.lease <= m_options.maximumLease;
@@ -76,15 +96,25 @@
         return std::nullopt;
     }
     if (const auto found = m_lent.find(request.id); found != m_lent.end()) {
-        return found->second.returned ? std::nullopt : std::optional(LoanGrant {request.id, m_self, found->second.amount});
+        Lent &loan = found->second;
+        const bool extends = request.round != 0;
+        if (loan.returned || (extends && (!mayExtend || request.generation != m_generation))) {
+            return std::nullopt;
+        }
+        loan.goneUntil = extends ? std::max(loan.goneUntil, goneUntil(loan.request, now)) : loan.goneUntil;
+        return LoanGrant {request.id, m_self, loan.amount, request.round};
     }
     const Units amount = std::min(request.amount, lendable);
-    if (request.generation != m_generation || amount == 0 || m_lent.size() >= s_maximumLoans) {
+    if (request.round != 0 || request.generation != m_generation || amount == 0 || m_lent.size() >= s_maximumLoans) {
         return std::nullopt;
     }
-    const base::TimePoint goneUntil = now + scaled(request.lease, 1 + m_options.leaseMargin) + m_options.localWindow();
-    m_lent.emplace(request.id, Lent {request, goneUntil, amount});
-    return LoanGrant {request.id, m_self, amount};
+    m_lent.emplace(request.id, Lent {request, goneUntil(request, now), amount});
+    return LoanGrant {request.id, m_self, amount, 0};
+}
+
+base::TimePoint LoanBook::goneUntil(const LoanRequest &request, base::TimePoint now) const
+{
+    return now + scaled(request.lease, 1 + m_options.leaseMargin) + m_options.localWindow();
 }
 
 Units LoanBook::lent(const RegionPair &link, Resource resource, base::TimePoint now)
--- a/src/shift/shift_budget.cpp
+++ b/src/shift/shift_budget.cpp
@@ -120,7 +120,11 @@
 
 std::optional<LoanGrant> ShiftBudget::onLoanRequest(const LoanRequest &request, base::TimePoint now)
 {
-    return m_loans.consider(request, lendable(request.link, request.resource, now), now);
+    // A lender that uses more than half of what it has left gets its quota back when the lease ends.
+    Account *account = find(request.link, request.resource);
+    const Units left = ownAllowance(request.link, request.resource, now);
+    const bool mayExtend = account && 2 * (account->account.used(now) + account->account.held()) <= left;
+    return m_loans.consider(request, lendable(request.link, request.resource, now), mayExtend, now);
 }
 
 ShiftBudget::Account *ShiftBudget::find(const RegionPair &link, Resource resource)
--- a/src/shift/shift_model.cpp
+++ b/src/shift/shift_model.cpp
@@ -65,7 +65,7 @@
     adopt(instance, m_documents[m_documents.size() - 1 - a % std::min<std::size_t>(m_documents.size(), 2)]);
 }
 
-void Model::adopt(Instance &instance, Document &document)
+void Model::adopt(Instance &instance, const Document &document)
 {
     // The snapshot with the old grants is replaced.
     for (const LookupGrant &grant : instance.grants) {
@@ -171,6 +171,14 @@
 
 void Model::borrow(Instance &instance, std::uint32_t a, std::uint32_t b)
 {
+    if (b % 3 == 0 && !instance.asked.empty()) {
+        const auto renewal =
+            instance.budget->loans().renew(instance.asked[instance.asked.size() - 1 - a % std::min<std::size_t>(instance.asked.size(), 3)], local(instance));
+        if (renewal) {
+            m_network.push_back({renewal->lender, renewal, {}, {}});
+        }
+        return;
+    }
     const Instance &lender = m_instances[a % s_instances];
     const base::Duration lease = std::chrono::milliseconds(500 + 500 * (b % 10));
     const auto request = instance.budget->loans().ask(lender.incarnation, s_link, Resource::Requests, 500 * (1 + b % 20), lease, local(instance));
@@ -185,7 +193,7 @@
     if (instance.asked.empty()) {
         return;
     }
-    const LoanId id = instance.asked[a % instance.asked.size()];
+    const LoanId id = instance.asked[instance.asked.size() - 1 - a % std::min<std::size_t>(instance.asked.size(), 3)];
     // The model keeps no table of lenders: a return reaches all, and those that did not lend ignore it.
     if (m_fault != Fault::UsesReturnedLoans && !instance.budget->loans().giveBack(id)) {
         return;
@@ -200,7 +208,9 @@
     if (m_network.empty()) {
         return;
     }
-    const auto position = m_network.begin() + static_cast<std::ptrdiff_t>(a % m_network.size());
+    // Most messages arrive soon; the others at any time.
+    const std::size_t among = (b >> 2U) % 4 == 0 ? m_network.size() : std::min<std::size_t>(m_network.size(), 4);
+    const auto position = m_network.end() - 1 - static_cast<std::ptrdiff_t>(a % among);
     const auto to = std::find_if(m_instances.begin(), m_instances.end(), [&](const Instance &i) {
         return i.incarnation == position->to;
     });
@@ -219,12 +229,38 @@
             m_network.push_back({grant->id.holder, {}, grant, {}});
         }
     } else if (message.grant) {
-        loansUsed += to->budget->loans().accept(*message.grant, local(*to)) ? 1 : 0;
+        const bool accepted = to->budget->loans().accept(*message.grant, local(*to));
+        loansUsed += accepted ? 1 : 0;
+        extensions += accepted && message.grant->round != 0 ? 1 : 0;
+        const auto renewal = (b >> 4U) % 2 == 0 ? to->budget->loans().renew(message.grant->id, local(*to)) : std::nullopt;
+        if (renewal) {
+            m_network.push_back({renewal->lender, renewal, {}, {}});
+        }
     } else if (message.giveBack) {
         to->budget->loans().onReturn(*message.giveBack, local(*to));
     }
 }
 
+/// An operator's change; it reaches instances one by one, or at times all that are not paused at once.
+void Model::publish(std::uint32_t a, std::uint32_t b)
+{
+    m_documents.push_back({m_documents.back().generation + 1, 10.0 + b % 40, static_cast<std::uint32_t>(s_instances + b % 3), m_now});
+    for (Instance &instance : m_instances) {
+        if (a % 2 == 0 && !instance.pausedAt) {
+            update(instance);
+        }
+    }
+}
+
+void Model::update(Instance &instance)
+{
+    if (Document &document = m_documents.back(); document.generation > instance.generation) {
+        Document seen = document;
+        seen.instances = m_fault == Fault::DividesByLiveMembers ? 2 : seen.instances;
+        adopt(instance, seen);
+    }
+}
+
 void Model::act(Instance &instance, std::uint32_t a, std::uint32_t b)
 {
     if (m_fault == Fault::StaleClock && instance.pausedAt) {
@@ -247,11 +283,7 @@
         lookups(instance, a, b >> 3U);
         break;
     case 5:
-        if (Document &document = m_documents.back(); document.generation > instance.generation) {
-            Document seen = document;
-            seen.instances = m_fault == Fault::DividesByLiveMembers ? 2 : seen.instances;
-            adopt(instance, seen);
-        }
+        update(instance);
         break;
     default:
         spend(instance, a);
@@ -269,7 +301,7 @@
         break;
     case 1:
         if (step.a % 4 == 0) {
-            m_documents.push_back({m_documents.back().generation + 1, 10.0 + step.b % 40, static_cast<std::uint32_t>(s_instances + step.b % 3), m_now});
+            publish(step.a >> 2U, step.b);
         }
         break;
     case 2:
--- a/src/shift/shift_model.hpp
+++ b/src/shift/shift_model.hpp
@@ -45,6 +45,7 @@
 
     std::optional<std::string> violation;
     int loansUsed = 0; ///< grants that were accepted
+    int extensions = 0; ///< those of them that extended a loan
     int responses = 0; ///< lookup responses given out
     double highest = 0; ///< highest use in a window as a part of the cap
 
@@ -85,7 +86,9 @@
     base::TimePoint local(const Instance &instance) const;
     base::TimePoint decisionTime(Instance &instance) const;
     void replace(Instance &instance, std::uint32_t a);
-    void adopt(Instance &instance, Document &document);
+    void adopt(Instance &instance, const Document &document);
+    void publish(std::uint32_t a, std::uint32_t b);
+    void update(Instance &instance);
     void act(Instance &instance, std::uint32_t a, std::uint32_t b);
     void spend(Instance &instance, std::uint32_t a);
     void spendAll();
--- a/src/shift/shift_model_test.cpp
+++ b/src/shift/shift_model_test.cpp
@@ -49,6 +49,7 @@
 BOOST_AUTO_TEST_CASE(useStaysWithinTheCapInLongHistories)
 {
     int loans = 0;
+    int extensions = 0;
     int responses = 0;
     int saturated = 0;
     for (std::uint64_t seed = 0; seed < 3000; ++seed) {
@@ -56,11 +57,14 @@
         runHistory(model, seed);
         BOOST_TEST(!model.violation.has_value(), "seed " << seed << ": " << model.violation.value_or(""));
         loans += model.loansUsed;
+        extensions += model.extensions;
         responses += model.responses;
         saturated += model.highest > 0.99 ? 1 : 0;
     }
-    BOOST_TEST_MESSAGE("3,000 histories: " << loans << " loans, " << responses << " lookup responses, " << saturated << " reached the cap");
+    BOOST_TEST_MESSAGE("3,000 histories: " << loans << " grants, " << extensions << " of them extensions, " << responses << " lookup responses, " << saturated
+                                           << " reached the cap");
     BOOST_TEST(loans > 3000);
+    BOOST_TEST(extensions > 300);
     BOOST_TEST(responses > 3000);
     BOOST_TEST(saturated > 1000);
 }
