Add the member table and the failure detector

Cause: nodes must notice dead, paused and replaced members without any coordination service, at a cost that does not grow with the fleet. Ruled out: all-to-all heartbeats and leases in the store (see docs/design.md). Also ruled out: taking a member as replaced because another record names its address. Old gossip may name either; only the answer to a fresh question, or this node's own address, proves who holds it. Ruled out by a trial: summaries that name only the latest two relays.

--- /dev/null
+++ b/include/trefoilstile/membership/failure_detector.hpp
@@ -0,0 +1,249 @@
+// Failure detection and dissemination of the member list: one per node, driven by ticks and received messages.
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/base/random.hpp"
+#include "trefoilstile/base/time.hpp"
+#include "trefoilstile/membership/contacts.hpp"
+#include "trefoilstile/membership/domain_view.hpp"
+#include "trefoilstile/membership/gossip_queue.hpp"
+#include "trefoilstile/membership/member_table.hpp"
+#include "trefoilstile/membership/messages.hpp"
+#include "trefoilstile/membership/options.hpp"
+#include "trefoilstile/membership/probe_round.hpp"
+
+namespace trefoilstile::membership
+{
+
+/// Takes messages to be sent as datagrams; called within `tick` and `receive`, must not call back.
+template<typename T>
+concept MessageSink = requires(T sink, Outgoing outgoing)
+{
+    sink.send(std::move(outgoing));
+};
+
+/// Counters for metrics.
+struct DetectorCounters {
+    std::uint64_t probes {};
+    std::uint64_t probesFailed {}; ///< neither direct nor indirect answer
+    std::uint64_t suspicions {}; ///< raised by this node
+    std::uint64_t refutations {}; ///< of reports about this node
+    std::uint64_t deaths {}; ///< declared by this node
+    std::uint64_t pauses {}; ///< gaps between ticks of this process
+    std::uint64_t contacts {}; ///< seeds and addresses of dead members contacted
+};
+
+/// Failure detector of one node. Call `tick` about every 50 ms.
+class FailureDetector
+{
+public:
+    /// `info` and `incarnation` describe this node; `random` gives the seed of all later draws.
+    template<base::RandomSource R>
+    FailureDetector(Options options, base::IncarnationId incarnation, MemberInfo info, const std::vector<std::string> &seeds, R &random)
+        : FailureDetector(options, incarnation, std::move(info), seeds, random.next())
+    {
+    }
+
+    /// Sends what is due and moves suspected members to dead.
+    template<MessageSink S>
+    void tick(base::TimePoint now, S &sink)
+    {
+        advance(now);
+        flush(sink);
+    }
+
+    /// Handles an authenticated message. `sender` is the incarnation in its envelope.
+    template<MessageSink S>
+    void receive(base::IncarnationId sender, const Message &message, base::TimePoint now, S &sink)
+    {
+        handle(sender, message, now);
+        flush(sink);
+    }
+
+    /// Announces what this node has in effect; members are told at once, the rest by gossip.
+    template<MessageSink S>
+    void setAnnouncement(const steering::Announcement &announcement, base::TimePoint now, S &sink)
+    {
+        announce(announcement, now);
+        flush(sink);
+    }
+
+    /// Announces that this node is leaving; cannot be taken back.
+    template<MessageSink S>
+    void announceLeaving(base::TimePoint now, S &sink)
+    {
+        leave(now);
+        flush(sink);
+    }
+
+    /// Spare capacity of this node in requests/s; reported when it has changed by more than a tenth.
+    void setSpareCapacity(std::uint32_t requestsPerSecond);
+
+    /// Adds an address that the platform's instance list gives.
+    void addSeed(const std::string &peerAddress);
+
+    /// Marks a member that the platform's instance list calls leaving. The list never revives a member.
+    void markListedLeaving(base::IncarnationId incarnation);
+
+    /// All members known, this node included; above the record limit only those of this failure domain.
+    const MemberTable &table() const
+    {
+        return m_table;
+    }
+
+    /// Summaries of the other failure domains with their ages.
+    std::vector<DomainSummary> summaries(base::TimePoint now) const;
+
+    /// Members of this failure domain that are alive, this node included; the view for the choice of pollers.
+    std::vector<base::IncarnationId> localAlive() const
+    {
+        return m_table.aliveIn(m_domain);
+    }
+
+    /// True if this node exchanges with other failure domains.
+    bool isRelay();
+
+    /// True while relays pass on the records of all members.
+    bool passesRecords() const
+    {
+        return m_passesRecords;
+    }
+
+    const DetectorCounters &counters() const
+    {
+        return m_counters;
+    }
+
+private:
+    /// What an open question is for.
+    enum class Purpose : std::uint8_t {
+        Local, ///< probe of a member of this failure domain
+        Remote, ///< probe of a relay of another one, by its record
+        Contact, ///< nothing is concluded from silence
+    };
+
+    struct OpenProbe {
+        Purpose purpose = Purpose::Contact;
+        base::IncarnationId target; ///< 0 for a contact
+        std::string address;
+        base::TimePoint sent;
+        bool indirect = false; ///< others have been asked
+    };
+
+    /// A probe sent on behalf of another member.
+    struct ForwardedProbe {
+        std::string requesterAddress;
+        std::uint64_t requesterNonce {};
+        base::TimePoint sent;
+    };
+
+    FailureDetector(Options options, base::IncarnationId incarnation, MemberInfo info, const std::vector<std::string> &seeds, std::uint64_t randomSeed);
+
+    template<MessageSink S>
+    void flush(S &sink)
+    {
+        for (Outgoing &outgoing : m_outgoing) {
+            sink.send(std::move(outgoing));
+        }
+        m_outgoing.clear();
+    }
+
+    // failure_detector.cpp: ticks
+    void advance(base::TimePoint now);
+    void noticePause(base::TimePoint now);
+    void expireProbes(base::TimePoint now);
+    void askOthers(std::uint64_t nonce, const OpenProbe &probe);
+    void expireSuspicions(base::TimePoint now);
+    void probeLocal(base::TimePoint now);
+    void exchange(base::TimePoint now);
+    void exchangeBySummaries(base::TimePoint now);
+    void contact(base::TimePoint now);
+    std::vector<std::string> contactCandidates(base::TimePoint now) const;
+    void sendProbe(Purpose purpose, base::IncarnationId target, const std::string &address, base::TimePoint now);
+    void reportCapacity(base::TimePoint now);
+    void refreshViews(base::TimePoint now);
+
+    // failure_detector_receive.cpp: messages and merging
+    void handle(base::IncarnationId sender, const Message &message, base::TimePoint now);
+    void answer(std::uint64_t nonce, const GossipBody &body);
+    void handleAck(base::IncarnationId sender, const Ack &ack, base::TimePoint now);
+    void handleProbeRequest(const ProbeRequest &request, base::TimePoint now);
+    void mergeBody(const GossipBody &body, base::TimePoint now);
+    void mergeUpdate(const MemberUpdate &update, base::TimePoint now);
+    void mergeAboutSelf(const MemberUpdate &update, base::TimePoint now);
+    void mergeSummary(const DomainSummary &summary, base::TimePoint now);
+    void resolveAddress(const MemberEntry &entry, base::TimePoint now);
+    void setState(base::IncarnationId incarnation, MemberState state, base::TimePoint now);
+    void noteChange(base::IncarnationId incarnation, Change change);
+
+    // failure_detector_gossip.cpp: what is sent
+    void announce(const steering::Announcement &announcement, base::TimePoint now);
+    void leave(base::TimePoint now);
+    void raiseStatus(base::TimePoint now);
+    void reportSelf(base::TimePoint now, bool atOnce);
+    GossipBody makeBody(const MemberInfo *receiver, base::IncarnationId receiverId);
+    void addSummaries(GossipBody &body, const MemberInfo *receiver, std::size_t &bytes);
+    void addRotated(GossipBody &body, std::size_t &bytes);
+    DomainSummary ownSummary();
+    void tellAtOnce();
+    void sendMemberList(const MemberEntry &receiver, base::TimePoint now);
+    void send(const std::string &address, Message message);
+    bool isLocal(const MemberInfo &info) const
+    {
+        return info.failureDomain == m_domain;
+    }
+    const MemberEntry &self() const
+    {
+        return *m_table.find(m_self);
+    }
+
+    Options m_options;
+    base::IncarnationId m_self;
+    std::string m_domain;
+    std::string m_address;
+    base::SplitMix64 m_random;
+    steering::Announcement m_announcement;
+
+    MemberTable m_table; ///< always holds this node, as alive
+    DomainView m_domains; ///< never holds this node's failure domain
+    GossipQueue m_localNews; ///< for members of this failure domain
+    GossipQueue m_remoteNews; ///< for relays of others; used while records are passed on
+    ContactSchedule m_contacts;
+    bool m_passesRecords = true;
+    base::IncarnationId m_rotated; ///< record sent last in turn
+
+    ProbeRound<base::IncarnationId> m_localRound;
+    ProbeRound<base::IncarnationId> m_remoteRound;
+    ProbeRound<std::string> m_domainRound;
+    std::map<std::uint64_t, OpenProbe> m_open; ///< by nonce; bounded by the rates of sending and the timeouts
+    std::map<std::uint64_t, ForwardedProbe> m_forwarded; ///< by nonce, at most Options::forwardedProbes
+
+    std::uint64_t m_viewVersion = ~0ULL; ///< table version that the three lists below were made from
+    base::TimePoint m_viewMade; ///< they are made anew after s_viewLifetime, since summaries go out of date
+    std::vector<base::IncarnationId> m_localAlive; ///< other members of this failure domain
+    std::vector<base::IncarnationId> m_ownRelays;
+    std::vector<base::IncarnationId> m_remoteRelays; ///< of all other failure domains, by their records
+
+    std::optional<base::TimePoint> m_lastTick;
+    base::TimePoint m_now; ///< of the call in progress
+    std::optional<base::TimePoint> m_nextProbe;
+    std::optional<base::TimePoint> m_nextExchange;
+    base::TimePoint m_nextReport;
+    base::TimePoint m_nextMateContact; ///< earliest contact with a relay of this failure domain named by a summary
+    base::TimePoint m_syncWindow; ///< start of the second in which m_syncs counts
+    std::size_t m_syncs {};
+    std::uint32_t m_spareCapacity {};
+    DetectorCounters m_counters;
+    std::vector<Outgoing> m_outgoing; ///< empty between calls
+};
+
+} // namespace trefoilstile::membership
--- /dev/null
+++ b/src/membership/failure_detector_receive.cpp
@@ -0,0 +1,192 @@
+// What the failure detector does with received messages.
+
+#include "trefoilstile/membership/failure_detector.hpp"
+
+#include <algorithm>
+
+namespace trefoilstile::membership
+{
+
+namespace
+{
+
+/// True for a question that was sent to an address without knowing who is there.
+bool isContact(const Message &message)
+{
+    const auto *probe = std::get_if<SummaryExchange>(&message);
+    return probe != nullptr && probe->target == base::IncarnationId {};
+}
+
+} // namespace
+
+void FailureDetector::handle(base::IncarnationId sender, const Message &message, base::TimePoint now)
+{
+    const GossipBody &body = bodyOf(message);
+    if (body.sender.incarnation != sender || !body.sender.info || sender == m_self) {
+        return;
+    }
+    noticePause(now);
+    m_now = now;
+    refreshViews(now);
+    const MemberEntry *before = m_table.find(sender);
+    const bool wasDead = before != nullptr && before->status.state == MemberState::Dead;
+    const std::uint64_t refutations = m_counters.refutations;
+    mergeBody(body, now);
+    refreshViews(now);
+    const MemberEntry *after = m_table.find(sender);
+    if (after != nullptr && after->isAlive() && (wasDead || isContact(message))) {
+        sendMemberList(*after, now);
+    }
+    if (const auto *probe = std::get_if<Probe>(&message)) {
+        answer(probe->nonce, body);
+    } else if (const auto *exchange = std::get_if<SummaryExchange>(&message)) {
+        answer(exchange->nonce, body);
+    } else if (m_counters.refutations != refutations) {
+        // The informer learns at once that the report about this node is wrong.
+        send(body.sender.info->peerAddress, Gossip {makeBody(&*body.sender.info, sender)});
+    }
+    if (const auto *ack = std::get_if<Ack>(&message)) {
+        handleAck(sender, *ack, now);
+    } else if (const auto *request = std::get_if<ProbeRequest>(&message)) {
+        handleProbeRequest(*request, now);
+    }
+}
+
+void FailureDetector::answer(std::uint64_t nonce, const GossipBody &body)
+{
+    const MemberInfo &info = *body.sender.info;
+    send(info.peerAddress, Ack {nonce, m_self, makeBody(&info, body.sender.incarnation)});
+}
+
+void FailureDetector::handleAck(base::IncarnationId sender, const Ack &ack, base::TimePoint now)
+{
+    if (const auto forwarded = m_forwarded.find(ack.nonce); forwarded != m_forwarded.end()) {
+        if (ack.responder == sender) {
+            send(forwarded->second.requesterAddress, Ack {forwarded->second.requesterNonce, sender, makeBody(&self().info, {})});
+        }
+        m_forwarded.erase(forwarded);
+        return;
+    }
+    const auto open = m_open.find(ack.nonce);
+    if (open == m_open.end()) {
+        return;
+    }
+    const std::string address = open->second.address;
+    const bool contact = open->second.purpose == Purpose::Contact && open->second.target == base::IncarnationId {};
+    m_open.erase(open);
+    if (const MemberEntry *entry = m_table.find(sender); contact && entry != nullptr && entry->isAlive()) {
+        sendMemberList(*entry, now);
+    }
+    // The answer to a fresh question proves who holds the address now; any other member listed there has been replaced.
+    for (const base::IncarnationId holder : m_table.atAddress(address)) {
+        if (holder != ack.responder && holder != m_self) {
+            ++m_counters.deaths;
+            setState(holder, MemberState::Dead, now);
+        }
+    }
+}
+
+void FailureDetector::handleProbeRequest(const ProbeRequest &request, base::TimePoint now)
+{
+    if (m_forwarded.size() >= m_options.forwardedProbes || request.targetAddress == m_address) {
+        return;
+    }
+    const std::uint64_t nonce = m_random.next();
+    m_forwarded[nonce] = {request.body.sender.info->peerAddress, request.nonce, now};
+    const MemberEntry *target = m_table.find(request.target);
+    send(request.targetAddress, Probe {nonce, request.target, makeBody(target == nullptr ? nullptr : &target->info, request.target)});
+}
+
+void FailureDetector::mergeBody(const GossipBody &body, base::TimePoint now)
+{
+    mergeUpdate(body.sender, now);
+    for (const MemberUpdate &update : body.updates) {
+        mergeUpdate(update, now);
+    }
+    for (const DomainSummary &summary : body.summaries) {
+        mergeSummary(summary, now);
+    }
+}
+
+void FailureDetector::mergeUpdate(const MemberUpdate &update, base::TimePoint now)
+{
+    if (update.incarnation == m_self) {
+        mergeAboutSelf(update, now);
+        return;
+    }
+    const MemberEntry *known = m_table.find(update.incarnation);
+    if (!m_passesRecords && known == nullptr && (!update.info || !isLocal(*update.info))) {
+        return;
+    }
+    const Change change = m_table.apply(update, now);
+    noteChange(update.incarnation, change);
+    if (change == Change::Added) {
+        resolveAddress(*m_table.find(update.incarnation), now);
+    }
+}
+
+/// Only this node knows its own state: a report that it is not alive is refuted by a higher status number.
+void FailureDetector::mergeAboutSelf(const MemberUpdate &update, base::TimePoint now)
+{
+    const std::uint64_t own = self().status.statusNumber;
+    if (update.status.state == MemberState::Alive || update.status.statusNumber < own) {
+        return;
+    }
+    ++m_counters.refutations;
+    MemberUpdate refutation = updateOf(self(), false);
+    refutation.status.statusNumber = update.status.statusNumber + 1;
+    noteChange(m_self, m_table.apply(refutation, now));
+}
+
+void FailureDetector::mergeSummary(const DomainSummary &summary, base::TimePoint now)
+{
+    if (summary.failureDomain != m_domain) {
+        if (m_domains.merge(summary, now)) {
+            m_viewVersion = ~0ULL;
+        }
+        return;
+    }
+    // Relays of this failure domain that this node does not count as alive: it has yet to join them, or the failure
+    // domain is split.
+    for (const RelayAddress &relay : summary.relays) {
+        const MemberEntry *known = m_table.find(relay.incarnation);
+        const bool alive = known != nullptr && known->isAlive();
+        if (!alive && relay.peerAddress != m_address && now >= m_nextMateContact) {
+            m_nextMateContact = now + m_options.probePeriod;
+            ++m_counters.contacts;
+            sendProbe(Purpose::Contact, {}, relay.peerAddress, now);
+        }
+    }
+}
+
+/// Two members at one address: one has replaced the other. This node's own address is certain; elsewhere a fresh
+/// question decides.
+void FailureDetector::resolveAddress(const MemberEntry &entry, base::TimePoint now)
+{
+    const base::IncarnationId incarnation = entry.incarnation;
+    const std::string address = entry.info.peerAddress;
+    if (address == m_address) {
+        ++m_counters.deaths;
+        setState(incarnation, MemberState::Dead, now);
+    } else if (m_table.atAddress(address).size() > 1) {
+        sendProbe(Purpose::Contact, incarnation, address, now);
+    }
+}
+
+void FailureDetector::setState(base::IncarnationId incarnation, MemberState state, base::TimePoint now)
+{
+    noteChange(incarnation, m_table.report(incarnation, state, now));
+}
+
+void FailureDetector::noteChange(base::IncarnationId incarnation, Change change)
+{
+    if (change == Change::None) {
+        return;
+    }
+    m_localNews.push(incarnation, change);
+    if (m_passesRecords) {
+        m_remoteNews.push(incarnation, change);
+    }
+}
+
+} // namespace trefoilstile::membership
