--- a/bench/policy/fake_upstream.hpp
+++ b/bench/policy/fake_upstream.hpp
@@ -19,16 +19,16 @@
 
 struct FakeUpstream {
     std::string name;
-    std::uint32_t domain {};
-    std::uint32_t slots {};
+    std::uint32_t domain{};
+    std::uint32_t slots{};
     base::PerClass<std::uint32_t> busy; // the sum is at most `slots`
     std::deque<std::uint64_t> waiting; // attempts; at most 2 * slots
     UpstreamFault fault = UpstreamFault::None;
     ReportFault reportFault = ReportFault::None;
     double slowness = 1.0; ///< factor on service times
-    base::IncarnationId incarnation {1};
+    base::IncarnationId incarnation{1};
     std::optional<base::TimePoint> coldSince;
-    std::uint32_t servedCold {}; ///< requests since then; the cache fills with them
+    std::uint32_t servedCold{}; ///< requests since then; the cache fills with them
     std::optional<base::TimePoint> drainedAt;
     std::deque<std::pair<base::TimePoint, engine::LoadReported>> history; ///< states of the last seconds, oldest first
 
@@ -53,7 +53,7 @@
 
     engine::LoadReported report(base::TimePoint now) const
     {
-        engine::LoadReported result {name, incarnation, engine::UpstreamState::Live, slots, busyTotal(), static_cast<std::uint32_t>(waiting.size())};
+        engine::LoadReported result{name, incarnation, engine::UpstreamState::Live, slots, busyTotal(), static_cast<std::uint32_t>(waiting.size())};
         if (drainedAt && now >= *drainedAt + std::chrono::seconds(1)) {
             result.state = engine::UpstreamState::Leaving;
         } else if (coldSince && servedCold < 400) {
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -31,7 +31,7 @@
 {
     using namespace trefoilstile::bench;
     Arguments arguments;
-    CLI::App app {"Policy benchmark of trefoilstile in virtual time"};
+    CLI::App app{"Policy benchmark of trefoilstile in virtual time"};
     app.add_option("--policy", arguments.policies, "policies to run; all by default");
     app.add_option("--scenario", arguments.scenarios, "scenarios to run; all by default");
     app.add_option("--service", arguments.deployments, "services to run; all by default");
--- a/bench/policy/policy.cpp
+++ b/bench/policy/policy.cpp
@@ -95,7 +95,7 @@
                 return true;
             });
             ++m_running;
-            return admission::StartedRequest {*queue.remove(first->id), false};
+            return admission::StartedRequest{*queue.remove(first->id), false};
         }
         return std::nullopt;
     }
@@ -138,7 +138,7 @@
     std::size_t m_length;
     base::PerClass<admission::ClassQueue> m_queues;
     std::vector<admission::QueuedRequest> m_expired;
-    std::size_t m_running {};
+    std::size_t m_running{};
 };
 
 Policy basic(std::string name, std::string describes)
@@ -180,7 +180,7 @@
 std::vector<Policy> policies()
 {
     using admission::QueueOrder;
-    std::vector<Policy> result {
+    std::vector<Policy> result{
         basic("default", "shares, split slots, least loaded"),
         selecting("fifo-round-robin", "baseline", SelectionKind::RoundRobin, false),
         selecting("strict-priority", "baseline", SelectionKind::PowerOfTwo, false),
--- a/bench/policy/result.cpp
+++ b/bench/policy/result.cpp
@@ -92,7 +92,7 @@
             }
             phases.push_back({{"phase", phase.name}, {"classes", classes}, {"headroom", phase.headroom}, {"upstream_rejections", phase.upstreamRejections}});
         }
-        nlohmann::json item {{"service", run.deployment}, {"scenario", run.scenario}, {"policy", run.policy}, {"phases", phases}};
+        nlohmann::json item{{"service", run.deployment}, {"scenario", run.scenario}, {"policy", run.policy}, {"phases", phases}};
         if (run.drainSeconds >= 0.0) {
             item["drain_seconds"] = run.drainSeconds;
             item["starts_after_drain"] = run.startsAfterDrain;
--- a/bench/policy/scenario.cpp
+++ b/bench/policy/scenario.cpp
@@ -13,8 +13,8 @@
 {
 
 // Half of the slots, the usual load of a service with room for the loss of a region.
-constexpr base::PerClass<double> s_normal {{0.10, 0.25, 0.15}};
-constexpr base::PerClass<double> s_quiet {{0.02, 0.06, 0.04}};
+constexpr base::PerClass<double> s_normal{{0.10, 0.25, 0.15}};
+constexpr base::PerClass<double> s_quiet{{0.02, 0.06, 0.04}};
 
 std::vector<Phase> steady(base::Duration length)
 {
@@ -29,9 +29,9 @@
     work[base::PriorityClass::Urgent] = {20ms, 20ms, 2s, false};
     work[base::PriorityClass::Interactive] = {15ms, 15ms, 2s, true};
     work[base::PriorityClass::Bulk] = {20ms, 600ms, 5s, true};
-    Deployment booking {"booking"};
+    Deployment booking{"booking"};
     booking.work = work;
-    Deployment downloads {"downloads"};
+    Deployment downloads{"downloads"};
     downloads.upstreamsPerDomain = 2;
     downloads.slots = 3;
     downloads.work = work;
@@ -43,10 +43,10 @@
 {
     // At 10 and 3 times the capacity, with the other classes at their usual load; then demand of all classes above
     // their shares under each flood, so that every share is claimed.
-    const base::PerClass<double> bulkFlood {{0.10, 0.25, 10.0}};
-    const base::PerClass<double> urgentFlood {{3.0, 0.25, 0.15}};
-    const base::PerClass<double> urgentHigh {{0.50, 0.25, 10.0}};
-    const base::PerClass<double> allClaimed {{3.0, 0.60, 0.60}};
+    const base::PerClass<double> bulkFlood{{0.10, 0.25, 10.0}};
+    const base::PerClass<double> urgentFlood{{3.0, 0.25, 0.15}};
+    const base::PerClass<double> urgentHigh{{0.50, 0.25, 10.0}};
+    const base::PerClass<double> allClaimed{{3.0, 0.60, 0.60}};
     return {
         {"quiet", {{"warm", 10s, s_quiet}, {"quiet", 60s, s_quiet}}, {}},
         {"reconnect", {{"warm", 10s, s_normal}, {"wave", 2s, {{0.10, 8.0, 0.15}}}, {"after", 28s, s_normal}}, {}, false, true},
--- a/bench/policy/scenario.hpp
+++ b/bench/policy/scenario.hpp
@@ -13,9 +13,9 @@
 
 /// Work of one class.
 struct ClassWork {
-    base::Duration firstByte {}; ///< mean time of an upstream to the first byte
-    base::Duration held {}; ///< mean time for which a slot is held, first byte included
-    base::Duration timeout {}; ///< of the callers, from arrival to the first byte
+    base::Duration firstByte{}; ///< mean time of an upstream to the first byte
+    base::Duration held{}; ///< mean time for which a slot is held, first byte included
+    base::Duration timeout{}; ///< of the callers, from arrival to the first byte
     bool idempotent = true;
 };
 
@@ -28,7 +28,7 @@
     std::uint32_t slots = 4; ///< of each upstream
     std::uint32_t connections = 400;
     std::uint32_t maximumEntryInstances = 16;
-    base::PerClass<ClassWork> work {};
+    base::PerClass<ClassWork> work{};
 
     std::uint32_t domains() const
     {
@@ -54,7 +54,7 @@
 /// Load during one part of a run. Results are reported by the phase in which a request arrived.
 struct Phase {
     std::string name;
-    base::Duration length {};
+    base::Duration length{};
     base::PerClass<double> demand; ///< of each class, as a part of all slots
 };
 
@@ -69,9 +69,9 @@
 };
 
 struct Fault {
-    base::Duration at {}; ///< from the start of the run
+    base::Duration at{}; ///< from the start of the run
     FaultKind kind = FaultKind::StopReports;
-    std::uint32_t target {}; ///< index of the region or domain
+    std::uint32_t target{}; ///< index of the region or domain
 };
 
 struct Scenario {
@@ -88,7 +88,7 @@
 std::vector<Scenario> scenarios();
 
 /// Minimum shares and weights used by all runs, as they would stand in the steering document.
-inline constexpr base::PerClass<double> s_minimumShares {{0.3, 0.3, 0.1}};
-inline constexpr base::PerClass<double> s_weights {{8.0, 3.0, 1.0}};
+inline constexpr base::PerClass<double> s_minimumShares{{0.3, 0.3, 0.1}};
+inline constexpr base::PerClass<double> s_weights{{8.0, 3.0, 1.0}};
 
 } // namespace trefoilstile::bench
--- a/bench/policy/world.hpp
+++ b/bench/policy/world.hpp
@@ -47,16 +47,16 @@
 
     struct Request {
         admission::QueuedRequest queued;
-        std::uint32_t instance {};
-        std::uint32_t phase {};
-        std::uint32_t attempts {};
+        std::uint32_t instance{};
+        std::uint32_t phase{};
+        std::uint32_t attempts{};
         base::TimePoint firstArrival;
         std::vector<std::size_t> tried;
     };
 
     struct Attempt {
-        std::uint64_t request {};
-        std::uint32_t upstream {};
+        std::uint64_t request{};
+        std::uint32_t upstream{};
         base::PriorityClass priorityClass = base::PriorityClass::Bulk;
         upstream::Choice choice;
         base::TimePoint startedAt;
@@ -69,7 +69,7 @@
     };
 
     struct Instance {
-        std::uint32_t domain {};
+        std::uint32_t domain{};
         std::unique_ptr<SchedulerPolicy> scheduler;
         std::unique_ptr<upstream::UpstreamSet> set;
         Selection selection;
@@ -115,17 +115,17 @@
     const Policy &m_policy;
     base::SplitMix64 m_arrivalRandom; // for arrivals only, so that every policy gets the same
     base::SplitMix64 m_random;
-    base::TimePoint m_now {std::chrono::hours(1)};
+    base::TimePoint m_now{std::chrono::hours(1)};
     base::TimePoint m_start = m_now;
-    std::uint64_t m_sequence {};
+    std::uint64_t m_sequence{};
     std::priority_queue<Event> m_events;
-    std::uint32_t m_phase {};
+    std::uint32_t m_phase{};
     std::vector<base::TimePoint> m_phaseEnds;
     std::vector<Instance> m_instances;
     std::vector<FakeUpstream> m_upstreams;
     std::unordered_map<std::uint64_t, Request> m_requests; // queued, running or to be retried
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
-    std::uint64_t m_lastId {};
+    std::uint64_t m_lastId{};
     retry::RetryPolicy m_retryPolicy;
     base::Duration m_reportLag = std::chrono::milliseconds(500);
     bool m_reportsStopped = false;
--- a/bench/policy/world_instances.cpp
+++ b/bench/policy/world_instances.cpp
@@ -43,7 +43,7 @@
     for (std::uint32_t index = 0; index < m_deployment.instances(); ++index) {
         const std::uint32_t domain = index / m_deployment.instancesPerDomain;
         config.instance = members[index].name;
-        Instance instance {domain,
+        Instance instance{domain,
             makeScheduler(m_policy),
             std::make_unique<upstream::UpstreamSet>(config, m_policy.upstreams),
             Selection(m_policy.selection),
@@ -78,7 +78,7 @@
     Request &request = m_requests.at(started.request.id.value);
     const base::PriorityClass priorityClass = started.request.priorityClass;
     const bool idempotent = m_deployment.work[priorityClass].idempotent;
-    upstream::ChoiceRequest wanted {priorityClass, idempotent, request.tried, instance.domains, started.beyondSlots};
+    upstream::ChoiceRequest wanted{priorityClass, idempotent, request.tried, instance.domains, started.beyondSlots};
     std::optional<upstream::Choice> choice = instance.selection.choose(*instance.set, wanted, m_now, m_random);
     if (!choice && !request.tried.empty()) {
         // Only upstreams that were tried are free; a second attempt there is better than none.
--- a/include/trefoilstile/membership/failure_detector.hpp
+++ b/include/trefoilstile/membership/failure_detector.hpp
@@ -33,13 +33,13 @@
 
 /// Counters for metrics.
 struct DetectorCounters {
-    std::uint64_t probes {};
-    std::uint64_t probesFailed {}; ///< neither direct nor indirect answer
-    std::uint64_t suspicions {}; ///< raised by this node
-    std::uint64_t refutations {}; ///< of reports about this node
-    std::uint64_t deaths {}; ///< declared by this node
-    std::uint64_t pauses {}; ///< gaps between ticks of this process
-    std::uint64_t contacts {}; ///< seeds and addresses of dead members contacted
+    std::uint64_t probes{};
+    std::uint64_t probesFailed{}; ///< neither direct nor indirect answer
+    std::uint64_t suspicions{}; ///< raised by this node
+    std::uint64_t refutations{}; ///< of reports about this node
+    std::uint64_t deaths{}; ///< declared by this node
+    std::uint64_t pauses{}; ///< gaps between ticks of this process
+    std::uint64_t contacts{}; ///< seeds and addresses of dead members contacted
 };
 
 /// Failure detector of one node. Call `tick` about every 50 ms.
@@ -142,7 +142,7 @@
     /// A probe sent on behalf of another member.
     struct ForwardedProbe {
         std::string requesterAddress;
-        std::uint64_t requesterNonce {};
+        std::uint64_t requesterNonce{};
         base::TimePoint sent;
     };
 
@@ -240,8 +240,8 @@
     base::TimePoint m_nextReport;
     base::TimePoint m_nextMateContact; ///< earliest contact with a relay of this failure domain named by a summary
     base::TimePoint m_syncWindow; ///< start of the second in which m_syncs counts
-    std::size_t m_syncs {};
-    std::uint32_t m_spareCapacity {};
+    std::size_t m_syncs{};
+    std::uint32_t m_spareCapacity{};
     DetectorCounters m_counters;
     std::vector<Outgoing> m_outgoing; ///< empty between calls
 };
--- a/include/trefoilstile/membership/gossip_queue.hpp
+++ b/include/trefoilstile/membership/gossip_queue.hpp
@@ -42,7 +42,7 @@
 
 private:
     struct Item {
-        std::size_t sent {};
+        std::size_t sent{};
         bool urgent = false; ///< a change of state
         bool withInfo = false; ///< receivers may not know the member
     };
--- a/include/trefoilstile/membership/member_table.hpp
+++ b/include/trefoilstile/membership/member_table.hpp
@@ -107,7 +107,7 @@
 
     std::size_t m_limit;
     Entries m_entries;
-    std::uint64_t m_version {};
+    std::uint64_t m_version{};
 };
 
 /// Report about an entry, with or without its fixed part.
--- a/include/trefoilstile/shift/loan_book.hpp
+++ b/include/trefoilstile/shift/loan_book.hpp
@@ -48,17 +48,17 @@
     base::Generation generation; ///< document of the holder; the lender grants only under the same one
     RegionPair link;
     Resource resource = Resource::Requests;
-    Units amount {};
-    base::Duration lease {};
-    std::uint32_t round {}; ///< 0 asks for a new loan, a higher number for its extension by another lease
+    Units amount{};
+    base::Duration lease{};
+    std::uint32_t round{}; ///< 0 asks for a new loan, a higher number for its extension by another lease
 };
 
 /// Lender to holder. The lease runs from before the request was sent.
 struct LoanGrant {
     LoanId id;
     base::IncarnationId lender;
-    Units amount {}; ///< at most what was asked for
-    std::uint32_t round {};
+    Units amount{}; ///< at most what was asked for
+    std::uint32_t round{};
 };
 
 /// Holder to lender: the holder has stopped using the loan for good.
@@ -107,7 +107,7 @@
         LoanRequest request;
         base::TimePoint usableUntil;
         base::TimePoint roundUntil; ///< what `usableUntil` becomes when the round asked for last is granted
-        Units amount {}; ///< 0 until granted
+        Units amount{}; ///< 0 until granted
     };
     struct Lent {
         LoanRequest request;
--- a/include/trefoilstile/steering/dissemination.hpp
+++ b/include/trefoilstile/steering/dissemination.hpp
@@ -41,21 +41,21 @@
 
 /// Ask the source for a document body, then call `documentFetched`.
 struct FetchDocument {
-    std::uint64_t fetch {};
+    std::uint64_t fetch{};
     Source source;
     DocumentVersion version;
 };
 
 /// Ask the peer for its drain list, then call `drainsFetched`.
 struct FetchDrains {
-    std::uint64_t fetch {};
+    std::uint64_t fetch{};
     Source source;
     base::Generation generation; ///< at least
 };
 
 /// Read both rows of this environment from the store, then call `storeAnswered` or `storeFailed`.
 struct ReadStore {
-    std::uint64_t poll {};
+    std::uint64_t poll{};
 };
 
 /// The body has the right hash. Parse it, put it in effect and call `documentInEffect`, or `documentRefused`.
@@ -184,13 +184,13 @@
 
 private:
     struct DocumentFetch {
-        std::uint64_t id {};
+        std::uint64_t id{};
         DocumentOffer offer;
         base::TimePoint deadline;
     };
 
     struct DrainsFetch {
-        std::uint64_t id {};
+        std::uint64_t id{};
         DrainsOffer offer;
         base::TimePoint deadline;
     };
@@ -232,7 +232,7 @@
     std::optional<DocumentVersion> m_activating; ///< handed over, neither in effect nor refused yet
     std::vector<DocumentVersion> m_refused; ///< oldest first
     std::optional<Alarm> m_refusedAlarm;
-    std::uint64_t m_lastId {};
+    std::uint64_t m_lastId{};
     std::vector<Command> m_commands; ///< empty between calls
 };
 
@@ -266,7 +266,7 @@
 
 private:
     std::size_t m_limit;
-    std::size_t m_serving {};
+    std::size_t m_serving{};
 };
 
 } // namespace trefoilstile::steering
--- a/include/trefoilstile/steering/source_book.hpp
+++ b/include/trefoilstile/steering/source_book.hpp
@@ -21,7 +21,7 @@
 
     bool isStore() const
     {
-        return peer == base::IncarnationId {};
+        return peer == base::IncarnationId{};
     }
 
     friend bool operator==(const Source &, const Source &) = default;
@@ -72,7 +72,7 @@
 
 private:
     struct Cooldown {
-        unsigned failures {};
+        unsigned failures{};
         base::TimePoint until;
     };
 
--- a/src/membership/domain_view.cpp
+++ b/src/membership/domain_view.cpp
@@ -43,7 +43,7 @@
         if (m_known.size() >= m_limit) {
             return false;
         }
-        found = m_known.emplace(summary.failureDomain, Known {summary, made, {}}).first;
+        found = m_known.emplace(summary.failureDomain, Known{summary, made, {}}).first;
     } else if (made <= found->second.made) {
         return false;
     }
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -32,7 +32,7 @@
     for (const std::string &seed : seeds) {
         m_contacts.addSeed(seed);
     }
-    MemberUpdate update {incarnation, {}, std::move(info)};
+    MemberUpdate update{incarnation, {}, std::move(info)};
     update.status.statusNumber = 1;
     update.status.reportNumber = 1;
     m_table.apply(update, {});
@@ -130,7 +130,7 @@
             ++m_counters.suspicions;
             setState(target, MemberState::Suspect, now);
             // Told directly, it can refute before the news reaches it by gossip.
-            send(entry->info.peerAddress, Gossip {makeBody(&entry->info, target)});
+            send(entry->info.peerAddress, Gossip{makeBody(&entry->info, target)});
         }
     }
     std::erase_if(m_forwarded, [this, now](const auto &forwarded) {
@@ -157,7 +157,7 @@
     }
     for (const base::IncarnationId helper : sample(std::move(helpers), m_options.indirectProbes, m_random)) {
         const MemberInfo &info = m_table.find(helper)->info;
-        send(info.peerAddress, ProbeRequest {nonce, probe.target, probe.address, makeBody(&info, helper)});
+        send(info.peerAddress, ProbeRequest{nonce, probe.target, probe.address, makeBody(&info, helper)});
     }
 }
 
@@ -273,9 +273,9 @@
     GossipBody body = makeBody(entry == nullptr ? nullptr : &entry->info, target);
     ++m_counters.probes;
     if (purpose == Purpose::Local) {
-        send(address, Probe {nonce, target, std::move(body)});
+        send(address, Probe{nonce, target, std::move(body)});
     } else {
-        send(address, SummaryExchange {nonce, target, std::move(body)});
+        send(address, SummaryExchange{nonce, target, std::move(body)});
     }
 }
 
--- a/src/membership/failure_detector_gossip.cpp
+++ b/src/membership/failure_detector_gossip.cpp
@@ -82,7 +82,7 @@
     refreshViews(m_now);
     const auto tell = [this](base::IncarnationId receiver) {
         const MemberEntry &entry = *m_table.find(receiver);
-        send(entry.info.peerAddress, Gossip {makeBody(&entry.info, receiver)});
+        send(entry.info.peerAddress, Gossip{makeBody(&entry.info, receiver)});
     };
     for (const base::IncarnationId receiver : sample(m_localAlive, m_options.eagerFanout, m_random)) {
         tell(receiver);
@@ -103,7 +103,7 @@
         }
     }
     for (const std::string &address : sample(std::move(addresses), m_options.eagerFanout, m_random)) {
-        send(address, Gossip {makeBody(nullptr, {})});
+        send(address, Gossip{makeBody(nullptr, {})});
     }
 }
 
@@ -220,7 +220,7 @@
         MemberUpdate update = updateOf(entry, true);
         const std::size_t size = encodedBytes(update);
         if (bytes + size > m_options.bodyBytes && !body.updates.empty()) {
-            send(receiver.info.peerAddress, Gossip {std::exchange(body, empty)});
+            send(receiver.info.peerAddress, Gossip{std::exchange(body, empty)});
             bytes = taken;
             if (++messages >= m_options.syncMessages) {
                 return;
@@ -230,7 +230,7 @@
         body.updates.push_back(std::move(update));
     }
     if (!body.updates.empty()) {
-        send(receiver.info.peerAddress, Gossip {std::move(body)});
+        send(receiver.info.peerAddress, Gossip{std::move(body)});
     }
 }
 
--- a/src/membership/failure_detector_receive.cpp
+++ b/src/membership/failure_detector_receive.cpp
@@ -14,7 +14,7 @@
 bool isContact(const Message &message)
 {
     const auto *probe = std::get_if<SummaryExchange>(&message);
-    return probe != nullptr && probe->target == base::IncarnationId {};
+    return probe != nullptr && probe->target == base::IncarnationId{};
 }
 
 } // namespace
@@ -43,7 +43,7 @@
         answer(exchange->nonce, body);
     } else if (m_counters.refutations != refutations) {
         // The informer learns at once that the report about this node is wrong.
-        send(body.sender.info->peerAddress, Gossip {makeBody(&*body.sender.info, sender)});
+        send(body.sender.info->peerAddress, Gossip{makeBody(&*body.sender.info, sender)});
     }
     if (const auto *ack = std::get_if<Ack>(&message)) {
         handleAck(sender, *ack, now);
@@ -55,14 +55,14 @@
 void FailureDetector::answer(std::uint64_t nonce, const GossipBody &body)
 {
     const MemberInfo &info = *body.sender.info;
-    send(info.peerAddress, Ack {nonce, m_self, makeBody(&info, body.sender.incarnation)});
+    send(info.peerAddress, Ack{nonce, m_self, makeBody(&info, body.sender.incarnation)});
 }
 
 void FailureDetector::handleAck(base::IncarnationId sender, const Ack &ack, base::TimePoint now)
 {
     if (const auto forwarded = m_forwarded.find(ack.nonce); forwarded != m_forwarded.end()) {
         if (ack.responder == sender) {
-            send(forwarded->second.requesterAddress, Ack {forwarded->second.requesterNonce, sender, makeBody(&self().info, {})});
+            send(forwarded->second.requesterAddress, Ack{forwarded->second.requesterNonce, sender, makeBody(&self().info, {})});
         }
         m_forwarded.erase(forwarded);
         return;
@@ -72,7 +72,7 @@
         return;
     }
     const std::string address = open->second.address;
-    const bool contact = open->second.purpose == Purpose::Contact && open->second.target == base::IncarnationId {};
+    const bool contact = open->second.purpose == Purpose::Contact && open->second.target == base::IncarnationId{};
     m_open.erase(open);
     if (const MemberEntry *entry = m_table.find(sender); contact && entry != nullptr && entry->isAlive()) {
         sendMemberList(*entry, now);
@@ -94,7 +94,7 @@
     const std::uint64_t nonce = m_random.next();
     m_forwarded[nonce] = {request.body.sender.info->peerAddress, request.nonce, now};
     const MemberEntry *target = m_table.find(request.target);
-    send(request.targetAddress, Probe {nonce, request.target, makeBody(target == nullptr ? nullptr : &target->info, request.target)});
+    send(request.targetAddress, Probe{nonce, request.target, makeBody(target == nullptr ? nullptr : &target->info, request.target)});
 }
 
 void FailureDetector::mergeBody(const GossipBody &body, base::TimePoint now)
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -48,7 +48,7 @@
     if (!update.info || m_entries.size() >= m_limit) {
         return Change::None;
     }
-    MemberEntry entry {update.incarnation, *update.info, update.status, false, true, now};
+    MemberEntry entry{update.incarnation, *update.info, update.status, false, true, now};
     entry.passedOn = update.status.state != MemberState::Dead;
     m_entries.emplace(update.incarnation, std::move(entry));
     ++m_version;
--- a/src/membership/testing/fleet.cpp
+++ b/src/membership/testing/fleet.cpp
@@ -129,7 +129,7 @@
         });
         return;
     }
-    Sink sink {*this, node};
+    Sink sink{*this, node};
     place.detector->tick(m_now, sink);
     ticked(node);
     at(m_now + s_tickPeriod, [this, node, incarnation]() {
@@ -182,7 +182,7 @@
             deliver(to, m_nodes[to].incarnation, [this, to, sender, message, bytes]() {
                 ++m_nodes[to].received;
                 m_nodes[to].receivedBytes += bytes;
-                Sink sink {*this, to};
+                Sink sink{*this, to};
                 m_nodes[to].detector->receive(sender, *message, m_now, sink);
                 heard(to, *message);
             });
--- a/src/membership/testing/fleet.hpp
+++ b/src/membership/testing/fleet.hpp
@@ -33,15 +33,15 @@
 /// One place of the fleet; its process may be replaced.
 struct FleetNode {
     MemberInfo info;
-    std::size_t domain {};
+    std::size_t domain{};
     base::IncarnationId incarnation; ///< of the process that runs now or ran last
     std::unique_ptr<FailureDetector> detector; ///< nothing while no process runs
     base::TimePoint resumes; ///< end of the pause, if later than now
     std::vector<std::function<void()>> waiting; ///< what arrived during a pause
-    std::uint64_t sent {}; ///< messages
-    std::uint64_t sentBytes {};
-    std::uint64_t received {};
-    std::uint64_t receivedBytes {};
+    std::uint64_t sent{}; ///< messages
+    std::uint64_t sentBytes{};
+    std::uint64_t received{};
+    std::uint64_t receivedBytes{};
 };
 
 class Fleet
@@ -139,7 +139,7 @@
 private:
     struct Scheduled {
         base::TimePoint time;
-        std::uint64_t order {};
+        std::uint64_t order{};
         std::function<void()> action;
         bool operator<(const Scheduled &other) const
         {
@@ -151,7 +151,7 @@
 
     FleetOptions m_options;
     base::TimePoint m_now;
-    std::uint64_t m_order {};
+    std::uint64_t m_order{};
     std::priority_queue<Scheduled> m_queue;
     std::vector<FleetNode> m_nodes;
     std::vector<int> m_groups;
--- a/src/shift/loan_book.cpp
+++ b/src/shift/loan_book.cpp
@@ -27,9 +27,9 @@
     if (m_borrowed.size() >= s_maximumLoans || lease > m_options.maximumLease || lease <= base::Duration::zero() || amount == 0) {
         return std::nullopt;
     }
-    const LoanRequest request {{m_self, ++m_lastSequence}, lender, m_generation, link, resource, amount, lease, 0};
+    const LoanRequest request{{m_self, ++m_lastSequence}, lender, m_generation, link, resource, amount, lease, 0};
     const base::TimePoint until = now + scaled(lease, 1 - m_options.leaseMargin);
-    m_borrowed.emplace(request.id, Borrowed {request, until, until, 0});
+    m_borrowed.emplace(request.id, Borrowed{request, until, until, 0});
     return request;
 }
 
@@ -102,14 +102,14 @@
             return std::nullopt;
         }
         loan.goneUntil = extends ? std::max(loan.goneUntil, goneUntil(loan.request, now)) : loan.goneUntil;
-        return LoanGrant {request.id, m_self, loan.amount, request.round};
+        return LoanGrant{request.id, m_self, loan.amount, request.round};
     }
     const Units amount = std::min(request.amount, lendable);
     if (request.round != 0 || request.generation != m_generation || amount == 0 || m_lent.size() >= s_maximumLoans) {
         return std::nullopt;
     }
-    m_lent.emplace(request.id, Lent {request, goneUntil(request, now), amount});
-    return LoanGrant {request.id, m_self, amount, 0};
+    m_lent.emplace(request.id, Lent{request, goneUntil(request, now), amount});
+    return LoanGrant{request.id, m_self, amount, 0};
 }
 
 base::TimePoint LoanBook::goneUntil(const LoanRequest &request, base::TimePoint now) const
--- a/src/shift/loan_book_test.cpp
+++ b/src/shift/loan_book_test.cpp
@@ -10,13 +10,13 @@
 
 namespace
 {
-const RegionPair s_link {"bkk", "cnx"};
-constexpr base::TimePoint s_start {};
+const RegionPair s_link{"bkk", "cnx"};
+constexpr base::TimePoint s_start{};
 
 struct Fixture {
     ShiftOptions options;
-    LoanBook lender {{1}, options};
-    LoanBook holder {{2}, options};
+    LoanBook lender{{1}, options};
+    LoanBook holder{{2}, options};
     LoanRequest request;
     LoanGrant grant;
 
--- a/src/shift/shift_measurement.cpp
+++ b/src/shift/shift_measurement.cpp
@@ -16,7 +16,7 @@
 
 namespace
 {
-const RegionPair s_link {"bkk", "cnx"};
+const RegionPair s_link{"bkk", "cnx"};
 constexpr std::size_t s_instances = 12; ///< 4 for each region, 2 for each failure domain
 constexpr double s_cap = 1200; ///< requests/s
 constexpr base::Duration s_step = 10ms;
@@ -29,7 +29,7 @@
 struct Case {
     std::string name;
     std::size_t demanding = s_instances; ///< the first so many instances have endless demand
-    std::vector<std::size_t> dead {};
+    std::vector<std::size_t> dead{};
     std::size_t cutOff = 0; ///< the first so many reach each other only
     bool loans = true;
     double loss = 0;
@@ -38,14 +38,14 @@
 };
 
 struct Message {
-    base::TimePoint at {};
-    std::size_t to {};
-    std::optional<LoanRequest> request {};
-    std::optional<LoanGrant> grant {};
+    base::TimePoint at{};
+    std::size_t to{};
+    std::optional<LoanRequest> request{};
+    std::optional<LoanGrant> grant{};
 };
 
 struct Loan {
-    std::size_t lender {};
+    std::size_t lender{};
     base::TimePoint renewAt;
 };
 
@@ -59,7 +59,7 @@
         document.maximumEntryInstances = s_instances;
         document.shiftCaps = {{s_link.from, s_link.to, s_cap, 0}};
         for (std::size_t i = 0; i < s_instances; ++i) {
-            m_budgets.emplace_back(base::IncarnationId {i + 1}, base::TimePoint {});
+            m_budgets.emplace_back(base::IncarnationId{i + 1}, base::TimePoint{});
             m_budgets.back().adopt({1}, document);
         }
         m_loans.resize(s_instances);
@@ -69,11 +69,11 @@
     double run()
     {
         double used = 0;
-        for (m_now = base::TimePoint {} + s_warmUp; m_now < base::TimePoint {} + s_warmUp + s_settling + s_measured; m_now += s_step) {
+        for (m_now = base::TimePoint{} + s_warmUp; m_now < base::TimePoint{} + s_warmUp + s_settling + s_measured; m_now += s_step) {
             deliver();
             for (std::size_t i = 0; i < m_case.demanding; ++i) {
                 const double taken = alive(i) ? spend(i) : 0;
-                used += m_now >= base::TimePoint {} + s_warmUp + s_settling ? taken : 0;
+                used += m_now >= base::TimePoint{} + s_warmUp + s_settling ? taken : 0;
             }
         }
         return used / (s_cap * base::toSeconds(s_measured));
@@ -164,11 +164,11 @@
     }
 
     Case m_case;
-    base::TimePoint m_now {};
+    base::TimePoint m_now{};
     std::vector<ShiftBudget> m_budgets;
     std::vector<std::map<std::uint64_t, Loan>> m_loans; ///< by holder and sequence
     std::multimap<base::TimePoint, Message> m_network;
-    base::SplitMix64 m_random {20261204};
+    base::SplitMix64 m_random{20261204};
 };
 
 void print(const Case &options)
@@ -178,7 +178,7 @@
 
 void printStates()
 {
-    const std::vector<std::size_t> three {1, 5, 9};
+    const std::vector<std::size_t> three{1, 5, 9};
     std::printf("Share of the cap used, endless urgent demand, lease 5 s\n");
     print({.name = "all up, demand at all 12, fixed quotas only", .loans = false});
     print({.name = "all up, demand at all 12, with loans"});
@@ -197,7 +197,7 @@
 {
     std::printf("\nDemand at 4 of 12, by lease\nlease  no loss  10%% lost  lenders have all back after the holders die\n");
     for (const base::Duration lease : {1s, 2s, 5s, 10s, 20s}) {
-        const Case options {.name = "", .demanding = 4, .lease = lease};
+        const Case options{.name = "", .demanding = 4, .lease = lease};
         Case lossy = options;
         lossy.loss = 0.1;
         std::printf(
--- a/src/steering/dissemination.cpp
+++ b/src/steering/dissemination.cpp
@@ -29,7 +29,7 @@
     }
     if (due && m_polls.size() < m_options.outstandingPolls) {
         m_polls[++m_lastId] = now;
-        m_commands.emplace_back(ReadStore {m_lastId});
+        m_commands.emplace_back(ReadStore{m_lastId});
     }
 }
 
@@ -63,8 +63,8 @@
             return;
         }
     }
-    m_documentFetch = DocumentFetch {++m_lastId, *offer, now + m_options.documentTimeout};
-    m_commands.emplace_back(FetchDocument {m_lastId, offer->source, offer->version});
+    m_documentFetch = DocumentFetch{++m_lastId, *offer, now + m_options.documentTimeout};
+    m_commands.emplace_back(FetchDocument{m_lastId, offer->source, offer->version});
 }
 
 void Dissemination::startDrainsFetch(base::TimePoint now)
@@ -73,8 +73,8 @@
         return;
     }
     if (const auto offer = m_sources.bestDrains(m_holder.announcement().drains, now, m_random)) {
-        m_drainsFetch = DrainsFetch {++m_lastId, *offer, now + m_options.drainsTimeout};
-        m_commands.emplace_back(FetchDrains {m_lastId, offer->source, offer->generation});
+        m_drainsFetch = DrainsFetch{++m_lastId, *offer, now + m_options.drainsTimeout};
+        m_commands.emplace_back(FetchDrains{m_lastId, offer->source, offer->generation});
     }
 }
 
@@ -130,7 +130,7 @@
     m_sources.succeeded(offer.source);
     if (offer.version.generation > m_holder.announcement().document.generation) {
         m_activating = offer.version;
-        m_commands.emplace_back(DocumentReady {offer.version, std::move(body)});
+        m_commands.emplace_back(DocumentReady{offer.version, std::move(body)});
     }
 }
 
@@ -164,7 +164,7 @@
 void Dissemination::adoptDrains(base::Generation generation, std::string body)
 {
     if (m_holder.adoptDrains(generation)) {
-        m_commands.emplace_back(DrainsReady {generation, std::move(body)});
+        m_commands.emplace_back(DrainsReady{generation, std::move(body)});
     }
 }
 
@@ -188,7 +188,7 @@
         m_refused.erase(m_refused.begin());
     }
     m_refused.push_back(version);
-    m_refusedAlarm = Alarm {s_documentRefused, now, version};
+    m_refusedAlarm = Alarm{s_documentRefused, now, version};
 }
 
 std::vector<Alarm> Dissemination::alarms() const
--- a/src/steering/dissemination_test.cpp
+++ b/src/steering/dissemination_test.cpp
@@ -35,8 +35,8 @@
 /// A node in a failure domain of three, of which it is no poller.
 struct Fixture {
     Commands sink;
-    base::TimePoint now {std::chrono::hours(1)};
-    base::SplitMix64 random {1};
+    base::TimePoint now{std::chrono::hours(1)};
+    base::SplitMix64 random{1};
     std::vector<base::IncarnationId> alive;
     Dissemination node;
 
--- a/src/steering/source_book.cpp
+++ b/src/steering/source_book.cpp
@@ -64,7 +64,7 @@
         best.push_back({{incarnation, peer.address}, version});
     }
     if (usable(m_store, m_storeCooldown) && (best.empty() || m_store.generation > best.front().version.generation)) {
-        return DocumentOffer {{}, m_store};
+        return DocumentOffer{{}, m_store};
     }
     return oneOf(best, random);
 }
