Add the peer thread: gossip, dissemination and transfers between instances

Cause: an instance alone learns of documents and drains from the store only. Ruled out: fetching documents on the peer thread with blocking calls, because probes would stop meanwhile and the instance would be taken for dead; parsing runs on the platform thread. Before: no peer protocol in the daemon.

--- a/include/trefoilstile/daemon/messages.hpp
+++ b/include/trefoilstile/daemon/messages.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -16,10 +17,9 @@
 #include "trefoilstile/http/load_poller.hpp"
 #include "trefoilstile/idempotency/issued_key.hpp"
 #include "trefoilstile/platform/circuit_breaker.hpp"
-#include "trefoilstile/platform/document_store.hpp"
-#include "trefoilstile/platform/drain_store.hpp"
 #include "trefoilstile/platform/store.hpp"
 #include "trefoilstile/routing/entry_choice.hpp"
+#include "trefoilstile/steering/dissemination.hpp"
 #include "trefoilstile/steering/generation_holder.hpp"
 #include "trefoilstile/steering/version.hpp"
 
@@ -55,33 +55,49 @@
     std::uint64_t bodyLimit{};
 };
 
+/// Lookup responses that may be given out for another region; replaces the grants told before.
+struct PlacedGrants {
+    std::vector<engine::PlacedGrant> grants;
+};
+
 /// Steps of a planned stop.
 struct AnnounceStop {
 };
 struct StopAccepting {
 };
 
-using CallerInput = std::variant<engine::Command, LookupTable, DocumentSettings, AnnounceStop, StopAccepting>;
+using CallerInput = std::variant<engine::Command, LookupTable, PlacedGrants, DocumentSettings, AnnounceStop, StopAccepting>;
 
 // To the peer thread, which decides what comes into effect.
 
-/// Rows of the store as they were read.
-struct StoreRows {
-    base::TimePoint requested; ///< when the read was started
-    steering::DocumentVersion document; ///< generation 0 if there is no row
-    platform::DrainRow drains;
+/// The store answered a poll.
+struct RowsRead {
+    std::uint64_t poll{};
+    steering::StoreRows rows;
+};
+
+/// The store did not answer a poll.
+struct RowsFailed {
+    std::uint64_t poll{};
+};
+
+/// The store answered a fetch of a document's bytes.
+struct ObjectFetched {
+    std::uint64_t fetch{};
+    steering::FetchResult result = steering::FetchResult::Failed;
+    std::string bytes;
 };
 
-/// A document that was fetched, checked and parsed.
-struct FetchedDocument {
+/// A document was read and its tables were built.
+struct DocumentParsed {
     steering::DocumentVersion version;
     std::shared_ptr<const document::SteeringDocument> document;
     std::shared_ptr<const routing::BlockTable> blocks;
     std::shared_ptr<const std::string> bytes;
 };
 
-/// A document could not be fetched or read.
-struct FetchFailed {
+/// This build cannot read the document.
+struct DocumentRefused {
     steering::DocumentVersion version;
 };
 
@@ -95,27 +111,37 @@
     base::Generation generation;
     base::Generation drainGeneration;
     bool leaving = false;
+    std::optional<std::uint32_t> spareCapacity; ///< of the region, requests/s
+
+    friend bool operator==(const InEffect &, const InEffect &) = default;
 };
 
-using PeerInput = std::variant<StoreRows, FetchedDocument, FetchFailed, InstanceList, InEffect>;
+using PeerInput = std::variant<RowsRead, RowsFailed, ObjectFetched, DocumentParsed, DocumentRefused, InstanceList, InEffect>;
 
 // To the platform thread.
 
 /// Read the rows of the documents and drains.
 struct PollRows {
+    std::uint64_t poll{};
 };
 
-/// Fetch a document by its hash, or parse the bytes that a peer gave.
-struct FetchDocument {
+/// Fetch a document's bytes from the object store.
+struct FetchObject {
+    std::uint64_t fetch{};
+    std::string hash;
+};
+
+/// Read a document and build its tables.
+struct ParseDocument {
     steering::DocumentVersion version;
-    std::shared_ptr<const std::string> bytes; ///< null: to be fetched from the store
+    std::shared_ptr<const std::string> bytes;
 };
 
 /// Read the instance list.
 struct PollInstances {
 };
 
-using PlatformInput = std::variant<engine::ClaimKey, PollRows, FetchDocument, PollInstances>;
+using PlatformInput = std::variant<engine::ClaimKey, PollRows, FetchObject, ParseDocument, PollInstances>;
 
 // To the reporting thread.
 
--- a/include/trefoilstile/membership/failure_detector.hpp
+++ b/include/trefoilstile/membership/failure_detector.hpp
@@ -241,7 +241,7 @@
     base::TimePoint m_nextMateContact; ///< earliest contact with a relay of this failure domain named by a summary
     base::TimePoint m_syncWindow; ///< start of the second in which m_syncs counts
     std::size_t m_syncs{};
-    std::uint32_t m_spareCapacity{};
+    std::optional<std::uint32_t> m_spareCapacity; ///< unknown until told
     DetectorCounters m_counters;
     std::vector<Outgoing> m_outgoing; ///< empty between calls
 };
--- a/include/trefoilstile/membership/options.hpp
+++ b/include/trefoilstile/membership/options.hpp
@@ -37,6 +37,7 @@
     base::Duration healPeriod = std::chrono::seconds(5); ///< a relay contacts one address that seems dead each, to heal partitions
     double contactJitter = 0.5; ///< of backoff and heal period
     base::Duration reportPeriod = std::chrono::seconds(5); ///< least time between reports of spare capacity
+    base::Duration reportRefresh = std::chrono::seconds(10); ///< an unchanged report is repeated, since senders trust a measurement for 30 s at most
     double reportThreshold = 0.1; ///< relative change of spare capacity worth a report
     base::Duration summaryLifetime = std::chrono::seconds(30); ///< a failure domain whose summary is older counts as out of reach
     std::size_t syncsPerSecond = 10; ///< member lists sent to newcomers; a fleet that starts at once then causes no burst
--- a/src/daemon/caller_duty.cpp
+++ b/src/daemon/caller_duty.cpp
@@ -18,14 +18,10 @@
 constexpr base::Duration s_workReportPeriod = std::chrono::milliseconds(50);
 constexpr base::Duration s_lookupRetry = std::chrono::seconds(2); // before jitter; short, since a document may come any moment
 constexpr double s_lookupRetrySpread = 0.5;
+constexpr base::Duration s_grantReportPeriod = std::chrono::milliseconds(100);
 
-/// Grants nothing: lookups stay within the home region.
-struct NoCommitments : routing::CommitmentSource {
-    bool take(std::string_view, std::string_view) override
-    {
-        return false;
-    }
-};
+/// Wait before a body asks again for room on a link: 1/200 of the window in which room comes back.
+constexpr base::Duration s_linkWait = std::chrono::milliseconds(5);
 
 http::LookupResponse errorResponse(std::uint16_t status, std::string_view message, base::Duration retryAfter)
 {
@@ -37,10 +33,20 @@
 CallerDuty::CallerDuty(
     boost::asio::io_context &context, const Settings &settings, idempotency::KeyIssuer keyIssuer, std::uint64_t seed, Ring<DecisionInput> &toDecisions)
     : m_workTimer(context)
+    , m_grantTimer(context)
+    , m_region(settings.region)
     , m_keyIssuer(keyIssuer)
     , m_random(seed)
     , m_toDecisions(toDecisions)
-    , m_upstreams(context, {})
+    , m_grants([this](engine::GrantUsed used) {
+        m_toDecisions.push(engine::Event(used));
+    })
+    , m_linkBytes(keyIssuer.incarnation(), http::now())
+    , m_upstreams(context,
+          {.pacer =
+                  [this](std::string_view region, std::uint64_t bytes, base::PriorityClass priorityClass) {
+                      return paceLink(region, bytes, priorityClass);
+                  }})
     , m_server(context,
           m_upstreams,
           {.listenAddress = settings.callerAddress, .maximumRequests = s_maximumRequests},
@@ -54,6 +60,7 @@
         m_toDecisions.tryPush(engine::Event(std::move(report))); // the next report replaces one that finds no room
     })
 {
+    reportGrants();
 }
 
 std::string CallerDuty::address() const
@@ -77,7 +84,9 @@
     if (auto *command = std::get_if<engine::Command>(&input)) {
         m_server.execute(std::move(*command));
     } else if (auto *table = std::get_if<LookupTable>(&input)) {
-        m_entries = std::move(table->entries);
+        takeTable(std::move(*table));
+    } else if (const auto *placed = std::get_if<PlacedGrants>(&input)) {
+        m_grants.replace(placed->grants);
     } else if (auto *settings = std::get_if<DocumentSettings>(&input)) {
         m_loadPoller.setTargets(std::move(settings->loadTargets));
         m_server.setBodyLimit(settings->bodyLimit);
@@ -99,8 +108,7 @@
     if (document.findService(request.service) == nullptr) {
         return errorResponse(404, "unknown service", {});
     }
-    NoCommitments commitments;
-    const routing::EntryChoice choice = m_entries->choose(request.client, commitments);
+    const routing::EntryChoice choice = m_entries->choose(request.client, m_grants);
     if (choice.entries.empty()) {
         return errorResponse(503, "no entry instance may take this caller now", retryAfter);
     }
@@ -117,6 +125,37 @@
     return {200, body.dump(), {}};
 }
 
+void CallerDuty::takeTable(LookupTable table)
+{
+    const bool newDocument = !m_entries || table.entries->generation() != m_entries->generation();
+    m_entries = std::move(table.entries);
+    if (newDocument) {
+        m_linkBytes.adopt(m_entries->generation(), m_entries->document());
+    }
+}
+
+base::Duration CallerDuty::paceLink(std::string_view region, std::uint64_t bytes, base::PriorityClass priorityClass)
+{
+    const base::TimePoint now = http::now();
+    const shift::RegionPair link{m_region, std::string(region)};
+    if (m_linkBytes.available(link, shift::Resource::Bytes, priorityClass, now) < bytes) {
+        return s_linkWait;
+    }
+    m_linkBytes.takeBytes(link, priorityClass, bytes, now);
+    return {};
+}
+
+void CallerDuty::reportGrants()
+{
+    m_grants.flush();
+    m_grantTimer.expires_after(s_grantReportPeriod);
+    m_grantTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            reportGrants();
+        }
+    });
+}
+
 void CallerDuty::reportWork()
 {
     m_toDecisions.tryPush(CallerWork{m_server.connections(), m_server.requests(), m_server.attempts()}); // repeated soon
--- a/src/daemon/caller_duty.hpp
+++ b/src/daemon/caller_duty.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "grant_book.hpp"
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/daemon/messages.hpp"
 #include "trefoilstile/daemon/ring.hpp"
@@ -14,6 +15,7 @@
 #include "trefoilstile/http/caller_server.hpp"
 #include "trefoilstile/http/load_poller.hpp"
 #include "trefoilstile/http/upstream_client.hpp"
+#include "trefoilstile/shift/shift_budget.hpp"
 
 namespace trefoilstile::daemon
 {
@@ -39,13 +41,20 @@
 private:
     void onEvent(engine::Event event);
     http::LookupResponse lookup(const http::LookupRequest &request);
+    void takeTable(LookupTable table);
+    base::Duration paceLink(std::string_view region, std::uint64_t bytes, base::PriorityClass priorityClass);
+    void reportGrants();
     void reportWork();
 
     boost::asio::steady_timer m_workTimer;
+    boost::asio::steady_timer m_grantTimer;
+    std::string m_region;
     idempotency::KeyIssuer m_keyIssuer;
     base::SplitMix64 m_random;
     Ring<DecisionInput> &m_toDecisions;
     std::shared_ptr<const routing::EntryTable> m_entries; // null until a document is in effect
+    GrantBook m_grants;
+    shift::ShiftBudget m_linkBytes; // used for bytes only; requests are counted by the decision thread
     http::UpstreamClient m_upstreams;
     http::CallerServer m_server;
     http::LoadPoller m_loadPoller;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -138,7 +138,7 @@
 
 std::string Daemon::peerAddress() const
 {
-    return {};
+    return m_threads->peers.address();
 }
 
 std::string Daemon::operatorAddress() const
--- a/src/daemon/decision_duty.cpp
+++ b/src/daemon/decision_duty.cpp
@@ -16,6 +16,7 @@
 
 constexpr base::Duration s_tickPeriod = std::chrono::milliseconds(10);
 constexpr base::Duration s_statusPeriod = std::chrono::milliseconds(200);
+constexpr base::Duration s_capacityPeriod = std::chrono::seconds(1); // load is polled as often
 
 /// Time in which other instances learn that this one is leaving and stop naming it in lookup responses.
 constexpr base::Duration s_leavingNotice = std::chrono::seconds(3);
@@ -136,12 +137,23 @@
         }
         reportStatus(http::now());
     }
-    const InEffect inEffect{m_engine.generation(), m_engine.drainGeneration(), m_engine.leaving()};
-    if (!m_announced || m_announced->generation != inEffect.generation || m_announced->drainGeneration != inEffect.drainGeneration
-        || m_announced->leaving != inEffect.leaving) {
-        if (m_outputs.peers->tryPush(inEffect)) {
-            m_announced = inEffect;
-        }
+    if (m_engine.grantsVersion() != m_publishedGrants) {
+        m_publishedGrants = m_engine.grantsVersion();
+        m_outputs.callers->push(PlacedGrants{m_engine.grants()});
+    }
+    announceInEffect(http::now());
+}
+
+void DecisionDuty::announceInEffect(base::TimePoint now)
+{
+    InEffect inEffect{m_engine.generation(), m_engine.drainGeneration(), m_engine.leaving(), m_announced ? m_announced->spareCapacity : std::nullopt};
+    if (now >= m_nextCapacity) {
+        m_nextCapacity = now + s_capacityPeriod;
+        const std::optional<double> spare = m_engine.spareCapacity(now);
+        inEffect.spareCapacity = spare ? std::optional(static_cast<std::uint32_t>(*spare)) : std::nullopt;
+    }
+    if (m_announced != inEffect && m_outputs.peers->tryPush(inEffect)) {
+        m_announced = inEffect;
     }
 }
 
--- a/src/daemon/decision_duty.hpp
+++ b/src/daemon/decision_duty.hpp
@@ -55,6 +55,7 @@
     void recordEnd(base::RequestId id, const char *result, base::TimePoint now);
     void publish();
     void publishDocument();
+    void announceInEffect(base::TimePoint now);
     void tick();
     void reportStatus(base::TimePoint now);
     void beginStop(base::TimePoint now);
@@ -71,6 +72,8 @@
     base::Generation m_publishedGeneration;
     std::optional<InEffect> m_announced; // last one sent to the peer thread
     base::TimePoint m_nextStatus;
+    base::TimePoint m_nextCapacity;
+    std::uint64_t m_publishedGrants = 0;
     std::unordered_map<base::RequestId, Timing> m_timings; // of held requests
 
     StopStep m_stopStep = StopStep::Running;
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -1,10 +1,13 @@
-// Decides what to fetch and what comes into effect.
+// Connects membership and dissemination with the network and the other threads.
 
 #include "peer_duty.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "drains_text.hpp"
 #include "trefoilstile/daemon/log.hpp"
+#include "trefoilstile/document/parse.hpp"
 #include "trefoilstile/http/clock.hpp"
 
 namespace trefoilstile::daemon
@@ -14,7 +17,19 @@
 {
 
 constexpr base::Duration s_tickPeriod = std::chrono::milliseconds(50);
-constexpr base::Duration s_statusPeriod = std::chrono::milliseconds(500);
+constexpr base::Duration s_statusPeriod = std::chrono::milliseconds(200);
+constexpr base::Duration s_instancesPeriod = std::chrono::seconds(2); // the list lags by seconds anyway
+constexpr base::Duration s_capacityAge = std::chrono::seconds(2); // of a report on arrival: load polling and gossip
+
+/// Spare capacity that stands for an overloaded region, and the shifted load that it is taken to have: senders then
+/// shrink by a fifth.
+constexpr double s_overloadedSpare = -1;
+constexpr double s_overloadedShifted = 5;
+
+membership::MemberInfo memberInfo(const Settings &settings, std::string callerAddress, std::string peerAddress)
+{
+    return {settings.name, std::move(callerAddress), std::move(peerAddress), settings.region, settings.failureDomain};
+}
 
 } // namespace
 
@@ -27,19 +42,57 @@
     : m_timer(context)
     , m_settings(settings)
     , m_incarnation(incarnation)
-    , m_callerAddress(std::move(callerAddress))
     , m_random(seed)
     , m_outputs(outputs)
-    , m_pollerChoice(incarnation, settings.failureDomain)
+    , m_network(context, settings.peerAddress, {settings.macKey, settings.environment, settings.name, incarnation}, networkHandlers())
+    , m_detector({}, incarnation, memberInfo(settings, std::move(callerAddress), m_network.address()), settings.seeds, m_random)
+    , m_dissemination({}, incarnation, settings.failureDomain, document::contentHash, m_random)
 {
 }
 
+PeerNetworkHandlers PeerDuty::networkHandlers()
+{
+    PeerNetworkHandlers handlers;
+    handlers.message = [this](base::IncarnationId sender, const membership::Message &message) {
+        takeMessage(sender, message);
+    };
+    handlers.documentProgressed = [this](std::uint64_t fetch) {
+        m_dissemination.documentProgressed(fetch, http::now());
+    };
+    handlers.documentFetched = [this](std::uint64_t fetch, steering::FetchResult result, std::string body) {
+        m_dissemination.documentFetched(fetch, result, std::move(body), http::now(), *this);
+    };
+    handlers.drainsFetched = [this](std::uint64_t fetch, steering::FetchResult result, base::Generation generation, std::string body) {
+        m_dissemination.drainsFetched(fetch, result, generation, std::move(body), http::now(), *this);
+    };
+    return handlers;
+}
+
 void PeerDuty::start()
 {
-    publishMembers();
+    m_network.start();
     tick();
 }
 
+std::string PeerDuty::address() const
+{
+    return m_network.address();
+}
+
+void PeerDuty::send(membership::Outgoing outgoing)
+{
+    m_network.send(outgoing);
+}
+
+void PeerDuty::command(steering::Command command)
+{
+    std::visit(
+        [this](const auto &alternative) {
+            run(alternative);
+        },
+        command);
+}
+
 void PeerDuty::take(PeerInput input)
 {
     std::visit(
@@ -49,85 +102,203 @@
         input);
 }
 
-void PeerDuty::run(const StoreRows &rows)
+void PeerDuty::takeMessage(base::IncarnationId sender, const membership::Message &message)
+{
+    const base::TimePoint now = http::now();
+    m_detector.receive(sender, message, now, *this);
+    const membership::GossipBody &body = membership::bodyOf(message);
+    if (body.sender.info) {
+        m_dissemination.peerAnnounced(sender, body.sender.info->peerAddress, body.announcement, now, *this);
+    }
+}
+
+void PeerDuty::tick()
 {
-    const steering::Verdict verdict = m_holder.compareWithStore(rows.document, rows.requested, http::now());
-    if (verdict == steering::Verdict::Newer && !m_fetching) {
-        m_fetching = m_outputs.platform->tryPush(FetchDocument{rows.document, nullptr});
+    const base::TimePoint now = http::now();
+    m_detector.tick(now, *this);
+    m_dissemination.tick(m_detector.localAlive(), now, *this);
+    pollInstances(now);
+    if (m_detector.table().version() != m_publishedVersion) {
+        publishMembers();
+        publishCapacity(now);
     }
-    if (m_holder.adoptDrains(rows.drains.generation)) {
-        log("peers", "Drain list generation {} comes into effect.", rows.drains.generation.value);
-        m_outputs.decisions->push(engine::Event(engine::DrainsUpdated{rows.drains.generation, rows.drains.drains}));
+    if (now >= m_nextStatus) {
+        reportStatus();
     }
+    m_timer.expires_after(s_tickPeriod);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
 }
 
-void PeerDuty::run(const FetchedDocument &fetched)
+void PeerDuty::pollInstances(base::TimePoint now)
 {
-    m_fetching = false;
-    if (m_holder.adoptDocument(fetched.version, http::now())) {
-        m_outputs.decisions->push(engine::Event(engine::DocumentUpdated{fetched.version.generation, fetched.document, fetched.blocks}));
+    if (m_dissemination.isPoller() && now >= m_nextInstances) {
+        m_nextInstances = now + s_instancesPeriod;
+        m_outputs.platform->tryPush(PollInstances{});
     }
 }
 
-void PeerDuty::run(const FetchFailed &)
+void PeerDuty::run(const RowsRead &read)
+{
+    m_dissemination.storeAnswered(read.poll, read.rows, http::now(), *this);
+}
+
+void PeerDuty::run(const RowsFailed &failed)
 {
-    m_fetching = false; // the next poll asks for it again
+    m_dissemination.storeFailed(failed.poll);
+}
+
+void PeerDuty::run(const ObjectFetched &fetched)
+{
+    m_dissemination.documentFetched(fetched.fetch, fetched.result, fetched.bytes, http::now(), *this);
+}
+
+void PeerDuty::run(const DocumentParsed &parsed)
+{
+    m_held.document = parsed.version;
+    m_held.documentBytes = parsed.bytes;
+    m_network.hold(m_held);
+    m_outputs.decisions->push(engine::Event(engine::DocumentUpdated{parsed.version.generation, parsed.document, parsed.blocks}));
+}
+
+void PeerDuty::run(const DocumentRefused &refused)
+{
+    m_dissemination.documentRefused(refused.version, http::now());
 }
 
 void PeerDuty::run(const InstanceList &list)
 {
     for (const platform::ListedInstance &instance : list.instances) {
-        if (instance.leaving && instance.kind == platform::ListedInstance::Kind::Upstream) {
+        if (!instance.leaving) {
+            continue;
+        }
+        if (instance.kind == platform::ListedInstance::Kind::Upstream) {
             m_outputs.decisions->push(engine::Event(engine::UpstreamListedLeaving{instance.name, instance.incarnation}));
+        } else {
+            m_detector.markListedLeaving(instance.incarnation);
         }
     }
 }
 
 void PeerDuty::run(const InEffect &inEffect)
 {
+    const base::TimePoint now = http::now();
     m_inEffect = inEffect;
+    if (m_held.documentBytes && inEffect.generation == m_held.document.generation
+        && inEffect.generation > m_dissemination.holder().announcement().document.generation) {
+        m_dissemination.documentInEffect(m_held.document, now);
+    }
+    m_detector.setAnnouncement({m_dissemination.holder().announcement().document, inEffect.drainGeneration}, now, *this);
+    if (inEffect.spareCapacity) {
+        m_detector.setSpareCapacity(*inEffect.spareCapacity);
+    }
+    if (inEffect.leaving) {
+        m_detector.announceLeaving(now, *this);
+    }
     reportStatus();
 }
 
-void PeerDuty::tick()
+void PeerDuty::run(const steering::FetchDocument &fetch)
 {
-    const base::TimePoint now = http::now();
-    if (m_pollerChoice.due({}, now, m_random)) {
-        m_outputs.platform->tryPush(PollRows{});
-        m_outputs.platform->tryPush(PollInstances{});
+    if (!fetch.source.isStore()) {
+        m_network.fetchDocument(fetch.fetch, fetch.source.peerAddress, fetch.version);
+    } else {
+        m_outputs.platform->tryPush(FetchObject{fetch.fetch, fetch.version.hash}); // if it is lost, the fetch times out
     }
-    if (now >= m_nextStatus) {
-        reportStatus();
+}
+
+void PeerDuty::run(const steering::FetchDrains &fetch)
+{
+    m_network.fetchDrains(fetch.fetch, fetch.source.peerAddress, fetch.generation);
+}
+
+void PeerDuty::run(const steering::ReadStore &read)
+{
+    m_outputs.platform->tryPush(PollRows{read.poll});
+}
+
+void PeerDuty::run(const steering::DocumentReady &ready)
+{
+    log("peers", "Document generation {} has arrived.", ready.version.generation.value);
+    m_outputs.platform->push(ParseDocument{ready.version, std::make_shared<const std::string>(ready.body)});
+}
+
+void PeerDuty::run(const steering::DrainsReady &ready)
+{
+    try {
+        std::vector<engine::Drain> drains = drainsFromText(ready.body);
+        m_held.drains = ready.generation;
+        m_held.drainsBody = std::make_shared<const std::string>(ready.body);
+        m_network.hold(m_held);
+        log("peers", "Drain list generation {} with {} drains has arrived.", ready.generation.value, drains.size());
+        m_outputs.decisions->push(engine::Event(engine::DrainsUpdated{ready.generation, std::move(drains)}));
+    } catch (const MalformedDrains &error) {
+        log("peers", "Drain list generation {} cannot be read: {}", ready.generation.value, error.what());
     }
-    m_timer.expires_after(s_tickPeriod);
-    m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            tick();
-        }
-    });
 }
 
 void PeerDuty::publishMembers()
 {
-    engine::EntryMember self{m_settings.name, m_incarnation, m_callerAddress, m_settings.region, m_settings.failureDomain, true, false};
-    m_outputs.decisions->push(engine::Event(engine::MembersUpdated{{std::move(self)}}));
+    engine::MembersUpdated update;
+    for (const auto &[incarnation, entry] : m_detector.table().entries()) {
+        if (entry.status.state != membership::MemberState::Dead) {
+            const membership::MemberInfo &info = entry.info;
+            update.members.push_back({info.name, incarnation, info.callerAddress, info.region, info.failureDomain, true, entry.isLeaving()});
+        }
+    }
+    m_outputs.decisions->push(engine::Event(std::move(update)));
+    m_publishedVersion = m_detector.table().version();
+}
+
+void PeerDuty::publishCapacity(base::TimePoint now)
+{
+    std::unordered_map<std::string, RegionCapacity> present;
+    for (const auto &[incarnation, entry] : m_detector.table().entries()) {
+        if (!entry.isAlive() || entry.info.region == m_settings.region || entry.status.reportNumber == 0) {
+            continue;
+        }
+        RegionCapacity &capacity = present[entry.info.region];
+        // Members of a region measure the same upstreams at different times; the lowest figure is the careful one.
+        capacity.spare = capacity.sequence == 0 ? entry.status.spareCapacity : std::min(capacity.spare, entry.status.spareCapacity);
+        capacity.sequence += entry.status.reportNumber;
+    }
+    for (auto &[region, capacity] : present) {
+        RegionCapacity &known = m_capacities[region];
+        if (capacity.sequence <= known.sequence) {
+            continue;
+        }
+        capacity.seen = now;
+        known = capacity;
+        shift::CapacityAdvert advert{capacity.sequence, static_cast<double>(capacity.spare), 0, s_capacityAge};
+        if (capacity.spare == 0) {
+            advert.spare = s_overloadedSpare;
+            advert.shifted = s_overloadedShifted;
+        }
+        m_outputs.decisions->push(engine::Event(engine::CapacityReported{region, advert}));
+    }
 }
 
 void PeerDuty::reportStatus()
 {
     m_nextStatus = http::now() + s_statusPeriod;
     PeerStatus status;
-    status.hash = m_holder.announcement().document.hash;
-    status.notReadyReason = "neither the platform nor a peer has given a document";
-    status.alarms = m_holder.alarms();
-    status.members.push_back({m_settings.name,
-        m_settings.region,
-        m_settings.failureDomain,
-        m_incarnation,
-        true,
-        m_inEffect.leaving,
-        m_inEffect.generation,
-        m_inEffect.drainGeneration});
+    status.hash = m_dissemination.holder().announcement().document.hash;
+    status.notReadyReason = m_dissemination.notReadyReason();
+    status.alarms = m_dissemination.alarms();
+    for (const auto &[incarnation, entry] : m_detector.table().entries()) {
+        const bool self = incarnation == m_incarnation;
+        status.members.push_back({entry.info.name,
+            entry.info.region,
+            entry.info.failureDomain,
+            incarnation,
+            entry.status.state != membership::MemberState::Dead,
+            entry.isLeaving(),
+            self ? m_inEffect.generation : entry.status.generation,
+            self ? m_inEffect.drainGeneration : entry.status.drainGeneration});
+    }
     m_outputs.reports->tryPush(std::move(status));
 }
 
--- /dev/null
+++ b/src/daemon/peer_network.cpp
@@ -0,0 +1,295 @@
+// Datagrams and transfers between instances. Bytes that do not decode are dropped and counted by the codec.
+
+#include "peer_network.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <fmt/format.h>
+
+#include "endpoint.hpp"
+#include "trefoilstile/daemon/log.hpp"
+#include "trefoilstile/document/parse.hpp"
+
+namespace trefoilstile::daemon
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+/// Without progress; a frame of 1 MiB takes 0.1 s at 100 Mbit/s.
+constexpr base::Duration s_patience = std::chrono::seconds(2);
+
+constexpr std::size_t s_maximumConnections = 64; // of peers; bounds the memory that they can take to 64 MiB
+constexpr std::size_t s_maximumDrainsBytes = 1U << 20U;
+
+} // namespace
+
+PeerNetwork::PeerNetwork(asio::io_context &context, const std::string &listenAddress, peer::CodecSettings codec, PeerNetworkHandlers handlers)
+    : m_context(context)
+    , m_codec(std::move(codec))
+    , m_handlers(std::move(handlers))
+    , m_udp(context)
+    , m_acceptor(context)
+{
+    const auto [address, port] = parseEndpoint(listenAddress);
+    const tcp::endpoint endpoint(address, port);
+    try {
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        // UDP takes the port that TCP got, so that one address serves both.
+        m_udp.open(udp::endpoint(address, 0).protocol());
+        m_udp.bind(udp::endpoint(address, m_acceptor.local_endpoint().port()));
+        m_udp.non_blocking(true);
+    } catch (const boost::system::system_error &error) {
+        throw base::Error(fmt::format("cannot listen for peers at {}: {}", listenAddress, error.what()));
+    }
+}
+
+void PeerNetwork::start()
+{
+    receive();
+    accept();
+}
+
+std::string PeerNetwork::address() const
+{
+    return formatEndpoint(m_acceptor.local_endpoint().address(), m_acceptor.local_endpoint().port());
+}
+
+void PeerNetwork::hold(HeldVersions versions)
+{
+    m_held = std::move(versions);
+}
+
+const peer::EnvelopeCodec &PeerNetwork::codec() const
+{
+    return m_codec;
+}
+
+void PeerNetwork::send(const membership::Outgoing &outgoing)
+{
+    try {
+        const auto [address, port] = parseEndpoint(outgoing.peerAddress);
+        const std::string bytes = std::visit(
+            [this](const auto &message) {
+                return m_codec.encode(message);
+            },
+            outgoing.message);
+        boost::system::error_code ignored; // a datagram may be lost; gossip repeats what matters
+        m_udp.send_to(asio::buffer(bytes), udp::endpoint(address, port), 0, ignored);
+    } catch (const base::Error &error) {
+        log("peers", "A message to {} cannot be sent: {}", outgoing.peerAddress, error.what());
+    }
+}
+
+void PeerNetwork::receive()
+{
+    m_udp.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t bytes) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) { // an error here is an ICMP message about an earlier datagram
+            takeDatagram({m_buffer.data(), bytes});
+        }
+        receive();
+    });
+}
+
+void PeerNetwork::takeDatagram(std::string_view bytes)
+{
+    const peer::DecodeResult result = m_codec.decode(bytes, peer::Channel::Datagram);
+    const auto *received = std::get_if<peer::Received>(&result);
+    if (received == nullptr) {
+        return;
+    }
+    std::visit(
+        [this, received](const auto &payload) {
+            if constexpr (std::is_constructible_v<membership::Message, decltype(payload)>) {
+                m_handlers.message(received->sender, payload);
+            }
+        },
+        received->payload);
+}
+
+void PeerNetwork::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error && m_connections < s_maximumConnections) {
+            ++m_connections;
+            std::make_shared<FrameConnection>(
+                std::move(socket),
+                s_patience,
+                [this](FrameConnection &connection, std::string_view bytes) {
+                    return serve(connection, bytes);
+                },
+                [this] {
+                    --m_connections;
+                })
+                ->start();
+        }
+        accept();
+    });
+}
+
+bool PeerNetwork::serve(FrameConnection &connection, std::string_view bytes)
+{
+    const peer::DecodeResult result = m_codec.decode(bytes, peer::Channel::Frame);
+    const auto *received = std::get_if<peer::Received>(&result);
+    if (received == nullptr) {
+        return false;
+    }
+    if (const auto *request = std::get_if<peer::FetchDocumentRequest>(&received->payload)) {
+        serveDocument(connection, *request);
+        return true;
+    }
+    if (const auto *request = std::get_if<peer::FetchDrainsRequest>(&received->payload)) {
+        serveDrains(connection, *request);
+        return true;
+    }
+    return false;
+}
+
+void PeerNetwork::serveDocument(FrameConnection &connection, const peer::FetchDocumentRequest &request)
+{
+    peer::FetchDocumentResponse response{peer::FetchStatus::Absent, request.version, peer::Part{request.fetch, 0, 1, 0, {}}};
+    if (!m_held.documentBytes || m_held.document != request.version) {
+        connection.send(m_codec.encode(response));
+        return;
+    }
+    if (!m_serving.begin()) {
+        response.status = peer::FetchStatus::Busy;
+        connection.send(m_codec.encode(response));
+        return;
+    }
+    // The guard gives the place back however the transfer ends.
+    std::shared_ptr<const std::string> guarded(m_held.documentBytes.get(), [this, bytes = m_held.documentBytes](const std::string *) {
+        m_serving.end();
+    });
+    sendPart(connection.shared_from_this(), request.fetch, request.version, guarded, 0);
+}
+
+void PeerNetwork::sendPart(const std::shared_ptr<FrameConnection> &connection,
+    std::uint64_t transfer,
+    const steering::DocumentVersion &version,
+    const std::shared_ptr<const std::string> &bytes,
+    std::uint32_t index)
+{
+    const peer::FetchDocumentResponse response{peer::FetchStatus::Found, version, peer::partOf(transfer, *bytes, index)};
+    std::function<void()> next;
+    if (index + 1 < peer::partCount(bytes->size())) {
+        next = [this, weak = std::weak_ptr(connection), transfer, version, bytes, index] {
+            if (const auto open = weak.lock()) {
+                sendPart(open, transfer, version, bytes, index + 1);
+            }
+        };
+    }
+    connection->send(m_codec.encode(response), std::move(next));
+}
+
+void PeerNetwork::serveDrains(FrameConnection &connection, const peer::FetchDrainsRequest &request)
+{
+    peer::FetchDrainsResponse response{peer::FetchStatus::Absent, m_held.drains, peer::Part{request.fetch, 0, 1, 0, {}}};
+    if (m_held.drainsBody && m_held.drains >= request.generation) {
+        response.status = peer::FetchStatus::Found;
+        response.part = peer::partOf(request.fetch, *m_held.drainsBody, 0);
+    }
+    connection.send(m_codec.encode(response));
+}
+
+std::shared_ptr<FrameConnection> PeerNetwork::connect(
+    const std::string &address, peer::Payload request, FrameConnection::FrameHandler onFrame, std::function<void()> onEnd)
+{
+    const auto [ip, port] = parseEndpoint(address);
+    auto connection = std::make_shared<FrameConnection>(tcp::socket(m_context), s_patience, std::move(onFrame), std::move(onEnd));
+    connection->startWith(tcp::endpoint(ip, port), m_codec.encode(request));
+    return connection;
+}
+
+void PeerNetwork::fetchDocument(std::uint64_t fetch, const std::string &address, const steering::DocumentVersion &version)
+{
+    auto transfer = std::make_shared<Transfer>(Transfer{peer::PartAssembler(fetch, document::s_maximumDocumentBytes), steering::FetchResult::Failed, {}, {}});
+    connect(
+        address,
+        peer::FetchDocumentRequest{fetch, version},
+        [this, fetch, transfer](FrameConnection &, std::string_view bytes) {
+            return takeDocumentPart(fetch, *transfer, bytes);
+        },
+        [this, fetch, transfer] {
+            m_handlers.documentFetched(fetch, transfer->result, std::move(transfer->body));
+        });
+}
+
+bool PeerNetwork::takeDocumentPart(std::uint64_t fetch, Transfer &transfer, std::string_view bytes)
+{
+    const peer::DecodeResult result = m_codec.decode(bytes, peer::Channel::Frame);
+    const auto *received = std::get_if<peer::Received>(&result);
+    const auto *response = received == nullptr ? nullptr : std::get_if<peer::FetchDocumentResponse>(&received->payload);
+    if (response == nullptr) {
+        return false;
+    }
+    if (response->status != peer::FetchStatus::Found) {
+        transfer.result = response->status == peer::FetchStatus::Busy ? steering::FetchResult::Busy : steering::FetchResult::Absent;
+        return false;
+    }
+    try {
+        if (!transfer.assembler.add(response->part)) {
+            m_handlers.documentProgressed(fetch);
+            return true;
+        }
+        transfer.body = transfer.assembler.take();
+        transfer.result = steering::FetchResult::Found;
+    } catch (const peer::PartError &error) {
+        log("peers", "A document transfer is given up: {}", error.what());
+    }
+    return false;
+}
+
+void PeerNetwork::fetchDrains(std::uint64_t fetch, const std::string &address, base::Generation generation)
+{
+    auto transfer = std::make_shared<Transfer>(Transfer{peer::PartAssembler(fetch, s_maximumDrainsBytes), steering::FetchResult::Failed, {}, {}});
+    connect(
+        address,
+        peer::FetchDrainsRequest{fetch, generation},
+        [this, transfer](FrameConnection &, std::string_view bytes) {
+            return takeDrainsPart(*transfer, bytes);
+        },
+        [this, fetch, transfer] {
+            m_handlers.drainsFetched(fetch, transfer->result, transfer->generation, std::move(transfer->body));
+        });
+}
+
+bool PeerNetwork::takeDrainsPart(Transfer &transfer, std::string_view bytes)
+{
+    const peer::DecodeResult result = m_codec.decode(bytes, peer::Channel::Frame);
+    const auto *received = std::get_if<peer::Received>(&result);
+    const auto *response = received == nullptr ? nullptr : std::get_if<peer::FetchDrainsResponse>(&received->payload);
+    if (response == nullptr) {
+        return false;
+    }
+    if (response->status != peer::FetchStatus::Found) {
+        transfer.result = steering::FetchResult::Absent;
+        return false;
+    }
+    try {
+        if (transfer.assembler.add(response->part)) {
+            transfer.body = transfer.assembler.take();
+            transfer.generation = response->generation;
+            transfer.result = steering::FetchResult::Found;
+        }
+    } catch (const peer::PartError &error) {
+        log("peers", "A drain list transfer is given up: {}", error.what());
+    }
+    return false;
+}
+
+} // namespace trefoilstile::daemon
--- a/src/daemon/platform_duty.cpp
+++ b/src/daemon/platform_duty.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 
+#include "drains_text.hpp"
 #include "trefoilstile/daemon/log.hpp"
 #include "trefoilstile/document/parse.hpp"
 #include "trefoilstile/http/clock.hpp"
@@ -63,35 +64,62 @@
     m_outputs.decisions->push(engine::Event(engine::ClaimEnded{claim.id, result}));
 }
 
-void PlatformDuty::run(const PollRows &)
+void PlatformDuty::run(const PollRows &poll)
 {
-    const base::TimePoint requested = http::now();
-    const platform::Call call{platform::Purpose::Documents, requested + s_pollLimit};
+    const platform::Call call{platform::Purpose::Documents, http::now() + s_pollLimit};
     try {
-        StoreRows rows;
-        rows.requested = requested;
+        steering::StoreRows rows;
         if (const auto row = m_documents.row(m_environment, call)) {
             rows.document = {row->generation, row->hash};
         }
-        rows.drains = m_drains.row(m_environment, call);
-        m_outputs.peers->tryPush(rows); // the next poll brings the same or newer
+        const platform::DrainRow drains = m_drains.row(m_environment, call);
+        rows.drains = drains.generation;
+        rows.drainsBody = drainsToText(drains.drains);
+        m_outputs.peers->push(RowsRead{poll.poll, std::move(rows)});
+        logChange(true, {});
     } catch (const platform::PlatformError &error) {
-        log("platform", "Reading the rows failed: {}", error.what());
+        m_outputs.peers->push(RowsFailed{poll.poll});
+        logChange(false, error.what());
     }
 }
 
-void PlatformDuty::run(const FetchDocument &fetch)
+void PlatformDuty::logChange(bool reachable, std::string_view reason)
+{
+    if (reachable == m_reachable) {
+        return; // one line for each change, not for each poll of an outage
+    }
+    m_reachable = reachable;
+    if (reachable) {
+        log("platform", "The platform answers.");
+    } else {
+        log("platform", "The platform does not answer: {}", reason);
+    }
+}
+
+void PlatformDuty::run(const FetchObject &fetch)
+{
+    ObjectFetched fetched{fetch.fetch, steering::FetchResult::Failed, {}};
+    try {
+        fetched.bytes = m_documents.bytes(fetch.hash, {platform::Purpose::Documents, http::now() + s_fetchLimit});
+        fetched.result = steering::FetchResult::Found;
+    } catch (const platform::MalformedData &error) {
+        fetched.result = steering::FetchResult::Absent;
+        log("platform", "Document {} is not in the object store as it should be: {}", fetch.hash, error.what());
+    } catch (const platform::PlatformError &error) {
+        log("platform", "Document {} could not be fetched: {}", fetch.hash, error.what());
+    }
+    m_outputs.peers->push(fetched);
+}
+
+void PlatformDuty::run(const ParseDocument &parse)
 {
     try {
-        const auto bytes = fetch.bytes
-            ? fetch.bytes
-            : std::make_shared<const std::string>(m_documents.bytes(fetch.version.hash, {platform::Purpose::Documents, http::now() + s_fetchLimit}));
-        auto document = std::make_shared<const document::SteeringDocument>(document::parseDocument(*bytes));
+        auto document = std::make_shared<const document::SteeringDocument>(document::parseDocument(*parse.bytes));
         auto blocks = std::make_shared<const routing::BlockTable>(document->clientBlocks, document->defaultSite);
-        m_outputs.peers->push(FetchedDocument{fetch.version, std::move(document), std::move(blocks), bytes});
+        m_outputs.peers->push(DocumentParsed{parse.version, std::move(document), std::move(blocks), parse.bytes});
     } catch (const base::Error &error) {
-        log("platform", "Document generation {} could not be taken: {}", fetch.version.generation.value, error.what());
-        m_outputs.peers->push(FetchFailed{fetch.version});
+        log("platform", "Document generation {} cannot be read: {}", parse.version.generation.value, error.what());
+        m_outputs.peers->push(DocumentRefused{parse.version});
     }
 }
 
--- a/src/daemon/platform_duty.hpp
+++ b/src/daemon/platform_duty.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "trefoilstile/daemon/messages.hpp"
 #include "trefoilstile/daemon/ring.hpp"
@@ -30,10 +31,12 @@
 
 private:
     void run(const engine::ClaimKey &claim);
-    void run(const PollRows &);
-    void run(const FetchDocument &fetch);
+    void run(const PollRows &poll);
+    void run(const FetchObject &fetch);
+    void run(const ParseDocument &parse);
     void run(const PollInstances &);
     void reportBreaker();
+    void logChange(bool reachable, std::string_view reason);
 
     std::string m_environment;
     platform::PlatformClient m_client;
@@ -41,6 +44,7 @@
     platform::DrainStore m_drains;
     platform::ClaimStore m_claims;
     PlatformOutputs m_outputs;
+    bool m_reachable = true;
 };
 
 } // namespace trefoilstile::daemon
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -282,8 +282,9 @@
 void FailureDetector::reportCapacity(base::TimePoint now)
 {
     const double reported = self().status.spareCapacity;
-    const double change = std::abs(static_cast<double>(m_spareCapacity) - reported);
-    if (now < m_nextReport || change <= m_options.reportThreshold * reported) {
+    const double change = std::abs(static_cast<double>(m_spareCapacity.value_or(0)) - reported);
+    const bool refresh = m_spareCapacity && now >= m_nextReport - m_options.reportPeriod + m_options.reportRefresh;
+    if (now < m_nextReport || (change <= m_options.reportThreshold * reported && !refresh)) {
         return;
     }
     m_nextReport = now + m_options.reportPeriod;
--- a/src/membership/failure_detector_gossip.cpp
+++ b/src/membership/failure_detector_gossip.cpp
@@ -68,7 +68,7 @@
     ++update.status.reportNumber;
     update.status.generation = m_announcement.document.generation;
     update.status.drainGeneration = m_announcement.drains;
-    update.status.spareCapacity = m_spareCapacity;
+    update.status.spareCapacity = m_spareCapacity.value_or(0);
     m_now = now;
     noteChange(m_self, m_table.apply(update, now));
     if (atOnce) {
