Limit the records of refused attempts apart from those of runs

Cause: each numbered attempt that is rejected leaves a record for 15 min, so a flood of 1,000 rejections/s would fill the key table within 2 min and then nothing could run. Ruled out: leaving no record for first attempts, since the network of the model may repeat them; a shorter retention, since a delayed copy may arrive as long as the key is valid. Before: refusals took the room of runs. After: at most 40,000 of them (about 20 MB); beyond that a rejected numbered attempt is told unknown and the key stays runnable. Conclusion: a flood of rejections costs proofs of not-run, never room to run or a false proof.

--- a/include/trefoilstile/idempotency/key_table.hpp
+++ b/include/trefoilstile/idempotency/key_table.hpp
@@ -41,9 +41,12 @@
     /// Half of the 128 MB that the target size allows a node. With 765 bytes charged for a record with a body
     /// of 160 bytes (624 measured), 15 min carries 97 keyed requests/s at each instance; 24 h would carry 1.0/s.
     std::size_t maximumBytes = std::size_t {64} << 20U;
+    /// Keys that are in progress, ran or may have run.
     std::size_t maximumRecords = 120'000;
-    /// Records out of `maximumRecords` kept for requests that were rejected when there was no room to run them.
-    std::size_t refusalReserve = 10'000;
+    /// Keys that are kept only because an attempt was told not-run (about 20 MB). They have a limit of their own so that
+    /// a flood of rejected requests cannot take the room of those that run. Beyond it, numbered attempts that are
+    /// rejected are told `Unknown`, and the key stays runnable.
+    std::size_t maximumRefusals = 40'000;
     /// Content type and body of a stored response, in bytes; a larger response is stored without its body.
     std::size_t maximumStoredResponse = std::size_t {4} << 10U;
     /// Requests that wait for one key. One caller has few copies under way; more are a fault or an attack.
@@ -185,7 +188,7 @@
     Entries::value_type &held(std::string_view key, base::RequestId id);
     Ending finish(Entries::value_type &item, KeyState state, base::TimePoint now);
     void settle(Entries::value_type &item, KeyState state, base::TimePoint now);
-    bool hasRoom(std::size_t records, std::size_t bytes) const;
+    bool hasRoom(std::size_t bytes) const;
     void charge(Entry &entry, std::size_t bytes);
     void forgetExpired(base::TimePoint now);
 
@@ -194,6 +197,7 @@
     Entries m_entries;
     std::list<Ended> m_ended; ///< oldest first
     std::size_t m_inProgress = 0;
+    std::size_t m_refusals = 0; ///< records in `NotRun`
     std::size_t m_bytes = 0;
     std::uint64_t m_lastClaim = 0;
     bool m_sealed = false;
--- a/src/idempotency/key_table.cpp
+++ b/src/idempotency/key_table.cpp
@@ -31,9 +31,6 @@
     if (m_options.keyLifetime <= base::Duration::zero() || m_options.retention < m_options.keyLifetime + s_roundingTicks * s_issueTick) {
         throw Error("retention must exceed the key lifetime by at least 4 min");
     }
-    if (m_options.refusalReserve > m_options.maximumRecords) {
-        throw Error("refusal reserve exceeds the number of records");
-    }
 }
 
 std::uint32_t KeyTable::lifetimeTicks() const
@@ -82,12 +79,13 @@
         return {.decision = kind == KeyKind::Issued ? KeyDecision::NotRun : KeyDecision::Unknown};
     }
     const std::size_t bytes = s_recordBytes + key.size();
-    if (!hasRoom(m_entries.size() + 1 + m_options.refusalReserve, bytes + m_options.maximumStoredResponse)) {
+    if (!hasRoom(bytes + m_options.maximumStoredResponse)) {
         return refuse(key, request, kind, now);
     }
     auto &item = *m_entries.try_emplace(std::string(key)).first;
     item.second.record.fingerprint = request.fingerprint;
     charge(item.second, bytes);
+    ++m_refusals; // until it starts
     return start(item, request, kind);
 }
 
@@ -122,7 +120,7 @@
     if (m_sealed) {
         return {.decision = onlyHere ? KeyDecision::NotRun : KeyDecision::Unknown};
     }
-    if (!hasRoom(m_entries.size(), m_options.maximumStoredResponse)) {
+    if (!hasRoom(m_options.maximumStoredResponse)) {
         const bool proved = onlyHere && request.holderRepeat.has_value();
         if (proved) {
             record.refusedUpTo = std::max(record.refusedUpTo.value_or(0), *request.holderRepeat);
@@ -140,13 +138,14 @@
         return {.decision = KeyDecision::Full, .provedNotRun = proved};
     }
     // A numbered attempt is told not-run only if it can be remembered, so that a delayed copy of it does not run later.
-    if (!hasRoom(m_entries.size() + 1, bytes)) {
+    if (m_refusals >= m_options.maximumRefusals || m_bytes + bytes > m_options.maximumBytes) {
         return {.decision = KeyDecision::Full};
     }
     auto &item = *m_entries.try_emplace(std::string(key)).first;
     item.second.record.fingerprint = request.fingerprint;
     item.second.record.refusedUpTo = request.holderRepeat;
     charge(item.second, bytes);
+    ++m_refusals;
     item.second.ended = m_ended.insert(m_ended.end(), {now, item.first});
     return {.decision = KeyDecision::Full, .provedNotRun = true};
 }
@@ -161,6 +160,7 @@
     record.holder = request.holder;
     record.holderRepeat = request.holderRepeat;
     ++m_inProgress;
+    --m_refusals;
     if (item.second.ended) {
         m_ended.erase(*item.second.ended);
         item.second.ended.reset();
@@ -215,9 +215,9 @@
     return found == m_entries.end() ? std::nullopt : std::optional(found->second.record.state);
 }
 
-bool KeyTable::hasRoom(std::size_t records, std::size_t bytes) const
+bool KeyTable::hasRoom(std::size_t bytes) const
 {
-    return records <= m_options.maximumRecords && m_bytes + bytes <= m_options.maximumBytes;
+    return m_entries.size() - m_refusals < m_options.maximumRecords && m_bytes + bytes <= m_options.maximumBytes;
 }
 
 void KeyTable::charge(Entry &entry, std::size_t bytes)
@@ -232,6 +232,7 @@
         const auto found = m_entries.find(m_ended.front().key);
         m_ended.pop_front();
         m_bytes -= found->second.charged;
+        m_refusals -= found->second.record.state == KeyState::NotRun ? 1 : 0;
         m_entries.erase(found);
     }
 }
--- a/src/idempotency/key_table_transitions.cpp
+++ b/src/idempotency/key_table_transitions.cpp
@@ -136,9 +136,10 @@
     // Without a claim of our own, an attempt before this one may have run at another instance.
     const bool unclaimed = record.claim != 0 && !record.claimWon;
     Ending ending {.response = record.response};
+    const bool remembers = m_refusals < m_options.maximumRefusals;
     const auto tell = [&](base::RequestId id, std::optional<std::uint32_t> repeat) {
         Outcome outcome = state == KeyState::Completed ? Outcome::Replay : Outcome::Unknown;
-        if (state == KeyState::NotRun && (!unclaimed || repeat == 0U)) {
+        if (state == KeyState::NotRun && (!unclaimed || repeat == 0U) && (remembers || !repeat)) {
             outcome = Outcome::NotRun;
             noteRefusal(record, repeat);
         }
@@ -162,11 +163,14 @@
     --m_inProgress;
     m_bytes -= entry.charged;
     entry.charged = 0;
-    if (state == KeyState::NotRun && !entry.record.refusedUpTo && entry.record.claim == 0) {
-        // The record says no more than its absence: the key never ran, and no numbered attempt was refused.
+    const bool keepsClaim = entry.record.claim != 0 && m_refusals < m_options.maximumRefusals;
+    if (state == KeyState::NotRun && !entry.record.refusedUpTo && !keepsClaim) {
+        // The record says no more than its absence: the key never ran, and no numbered attempt was refused. Without the
+        // claim ID a later claim finds the key taken, which is safe.
         m_entries.erase(m_entries.find(key));
         return;
     }
+    m_refusals += state == KeyState::NotRun ? 1 : 0;
     charge(entry, s_recordBytes + key.size() + chargedBytes(entry.record.response));
     entry.ended = m_ended.insert(m_ended.end(), {now, key});
 }
