--- a/include/trefoilstile/idempotency/key_table.hpp
+++ b/include/trefoilstile/idempotency/key_table.hpp
@@ -40,7 +40,7 @@
     base::Duration retention = std::chrono::minutes(15);
     /// Half of the 128 MB that the target size allows a node. With 765 bytes charged for a record with a body
     /// of 160 bytes (624 measured), 15 min carries 97 keyed requests/s at each instance; 24 h would carry 1.0/s.
-    std::size_t maximumBytes = std::size_t {64} << 20U;
+    std::size_t maximumBytes = std::size_t{64} << 20U;
     /// Keys that are in progress, ran or may have run.
     std::size_t maximumRecords = 120'000;
     /// Keys that are kept only because an attempt was told not-run (about 20 MB). They have a limit of their own so that
--- a/src/idempotency/key_model.cpp
+++ b/src/idempotency/key_model.cpp
@@ -23,7 +23,7 @@
     instance.peers = SealedTables();
     instance.requests.clear();
     instance.incarnation = {m_next++};
-    instance.table.emplace(KeyIssuer(instance.incarnation, m_now), KeyTableOptions {.maximumRecords = 4, .maximumRefusals = 3, .maximumWaiters = 2});
+    instance.table.emplace(KeyIssuer(instance.incarnation, m_now), KeyTableOptions{.maximumRecords = 4, .maximumRefusals = 3, .maximumWaiters = 2});
 }
 
 void Model::send(std::uint32_t a, std::uint32_t b)
--- a/src/idempotency/key_table_test.cpp
+++ b/src/idempotency/key_table_test.cpp
@@ -142,7 +142,7 @@
     for (int i = 0; i < 10; ++i) {
         const std::string text = prefix + std::to_string(i);
         BOOST_TEST((begin(text, 1, s_start, 0) == KeyDecision::Run));
-        const Outcome outcome = table.expire(text, RequestId {1}, s_start).told.at(0).outcome;
+        const Outcome outcome = table.expire(text, RequestId{1}, s_start).told.at(0).outcome;
         BOOST_TEST((outcome == (i < 3 ? Outcome::NotRun : Outcome::Unknown)));
     }
     BOOST_TEST(table.size() == 3U);
@@ -150,7 +150,7 @@
     BOOST_TEST((begin(prefix + "0", 2, s_start, 1) == KeyDecision::Run));
     BOOST_TEST((begin(prefix + "9", 2, s_start, 0) == KeyDecision::Run)); // nobody was told that it did not run
     BOOST_TEST((begin(prefix + "8", 2, s_start, 0) == KeyDecision::Full));
-    table.expire(prefix + "0", RequestId {2}, s_start);
+    table.expire(prefix + "0", RequestId{2}, s_start);
     BOOST_TEST((begin(prefix + "0", 3, s_start, 0) == KeyDecision::NotRun)); // what was told before is kept
     begin(prefix + "0", 3, s_start + 1h, 1);
     BOOST_TEST(table.size() == 1U);
--- a/src/idempotency/key_table_transitions.cpp
+++ b/src/idempotency/key_table_transitions.cpp
@@ -135,7 +135,7 @@
     checkTransition(record.state, state, item.first);
     // Without a claim of our own, an attempt before this one may have run at another instance.
     const bool unclaimed = record.claim != 0 && !record.claimWon;
-    Ending ending {.response = record.response};
+    Ending ending{.response = record.response};
     const bool remembers = m_refusals < m_options.maximumRefusals;
     const auto tell = [&](base::RequestId id, std::optional<std::uint32_t> repeat) {
         Outcome outcome = state == KeyState::Completed ? Outcome::Replay : Outcome::Unknown;
