--- a/src/http/caller_server_test.cpp
+++ b/src/http/caller_server_test.cpp
@@ -47,18 +47,18 @@
     ServerFixture fixture;
     Peer caller(fixture.address);
     caller.write(s_get);
-    fixture.execute(engine::Reject {fixture.next<RequestArrived>().id, 503, engine::Outcome::NotRun, {}, std::chrono::milliseconds(1001)});
+    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 503, engine::Outcome::NotRun, {}, std::chrono::milliseconds(1001)});
     const auto first = caller.read();
     BOOST_TEST(first.status() == 503);
     BOOST_TEST(first.has("Trefoilstile-Outcome: not-run"));
     BOOST_TEST(first.has("Retry-After: 2"));
     caller.write(s_get);
-    fixture.execute(engine::Reject {fixture.next<RequestArrived>().id, 504, engine::Outcome::Unknown, {}, std::chrono::milliseconds(1)});
+    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 504, engine::Outcome::Unknown, {}, std::chrono::milliseconds(1)});
     const auto second = caller.read();
     BOOST_TEST(second.has("Trefoilstile-Outcome: unknown"));
     BOOST_TEST(second.has("Retry-After: 1"));
     caller.write(s_get);
-    fixture.execute(engine::Reject {fixture.next<RequestArrived>().id, 404, engine::Outcome::NotRun, {}, {}});
+    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 404, engine::Outcome::NotRun, {}, {}});
     BOOST_TEST(caller.read().head.find("Retry-After") == std::string::npos);
     BOOST_TEST(fixture.io.call([&]() {
         return fixture.server->requests();
@@ -70,8 +70,8 @@
     ServerFixture fixture;
     Peer caller(fixture.address);
     caller.write(s_get);
-    const auto kept = std::make_shared<engine::StoredResponse>(engine::StoredResponse {201, "application/json", "{}", false});
-    fixture.execute(engine::Replay {fixture.next<RequestArrived>().id, kept});
+    const auto kept = std::make_shared<engine::StoredResponse>(engine::StoredResponse{201, "application/json", "{}", false});
+    fixture.execute(engine::Replay{fixture.next<RequestArrived>().id, kept});
     const auto response = caller.read();
     BOOST_TEST(response.status() == 201);
     BOOST_TEST(response.has("Content-Type: application/json"));
@@ -160,7 +160,7 @@
     Peer second(fixture.address);
     second.write(s_get);
     BOOST_TEST(second.read().status() == 503);
-    fixture.execute(engine::Reject {held.id, 503, engine::Outcome::NotRun, {}, {}});
+    fixture.execute(engine::Reject{held.id, 503, engine::Outcome::NotRun, {}, {}});
     BOOST_TEST(first.read().status() == 503);
     // The connection ends after the request has been let go, so both bounds are free again.
     BOOST_TEST(first.closedByOther());
@@ -212,7 +212,7 @@
         const auto request = fixture.next<RequestArrived>();
         BOOST_REQUIRE(request.path == "/" + std::to_string(i));
         fixture.execute(
-            engine::Replay {request.id, std::make_shared<engine::StoredResponse>(engine::StoredResponse {200, "text/plain", std::to_string(i), false})});
+            engine::Replay{request.id, std::make_shared<engine::StoredResponse>(engine::StoredResponse{200, "text/plain", std::to_string(i), false})});
     }
     sender.join();
     for (int i = 0; i < count; ++i) {
@@ -251,7 +251,7 @@
     const auto request = fixture.next<RequestArrived>();
     caller.close();
     BOOST_CHECK(fixture.next<CallerDisconnected>().id == request.id);
-    fixture.execute(engine::Forget {request.id});
+    fixture.execute(engine::Forget{request.id});
     BOOST_TEST(fixture.io.call([&]() {
         return fixture.server->requests() + fixture.server->connections();
     }) == 0U);
@@ -350,7 +350,7 @@
     Peer caller(fixture.address);
     caller.write("POST /hold HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx");
     const auto request = fixture.next<RequestArrived>();
-    fixture.execute(engine::Relay {request.id, issuer.address(), s_hangLimit});
+    fixture.execute(engine::Relay{request.id, issuer.address(), s_hangLimit});
     Peer served = issuer.accept();
     const auto relayed = served.read();
     BOOST_TEST(relayed.has("Trefoilstile-Relayed: 1"));
@@ -362,7 +362,7 @@
     BOOST_TEST(response.has("Retry-After: 3"));
     BOOST_TEST(fixture.next<engine::RelayEnded>().responded);
     caller.write(s_get);
-    fixture.execute(engine::Relay {fixture.next<RequestArrived>().id, issuer.address(), s_hangLimit});
+    fixture.execute(engine::Relay{fixture.next<RequestArrived>().id, issuer.address(), s_hangLimit});
     issuer.accept().close();
     BOOST_TEST(!fixture.next<engine::RelayEnded>().responded);
 }
--- a/src/http/server_core.cpp
+++ b/src/http/server_core.cpp
@@ -152,7 +152,7 @@
         return;
     }
     exchange->headPassed = true;
-    const auto response = std::make_shared<const WholeResponse>(WholeResponse {std::move(head), std::move(body)});
+    const auto response = std::make_shared<const WholeResponse>(WholeResponse{std::move(head), std::move(body)});
     asio::co_spawn(context, sendWhole(session, exchange, response, options.writeTimeout), asio::detached);
 }
 
--- a/src/http/test_support.cpp
+++ b/src/http/test_support.cpp
@@ -21,7 +21,7 @@
 
 bool readable(int socket, std::chrono::milliseconds limit)
 {
-    pollfd state {socket, POLLIN, 0};
+    pollfd state{socket, POLLIN, 0};
     return ::poll(&state, 1, static_cast<int>(limit.count())) > 0;
 }
 
@@ -42,7 +42,7 @@
     : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
     const auto colon = address.rfind(':');
-    sockaddr_in to {};
+    sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
@@ -93,7 +93,7 @@
     if (!readable(m_socket, s_hangLimit)) {
         throw std::runtime_error("nothing to read in time");
     }
-    std::array<char, 65536> buffer {};
+    std::array<char, 65536> buffer{};
     const auto count = ::recv(m_socket, buffer.data(), buffer.size(), 0);
     if (count <= 0) {
         return false;
@@ -167,7 +167,7 @@
 FakeUpstream::FakeUpstream()
     : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
-    sockaddr_in at {};
+    sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof at;
@@ -226,7 +226,7 @@
         m_changed.notify_one();
     };
     handlers.lookup = [](const LookupRequest &request) {
-        return LookupResponse {200, "{\"service\":\"" + request.service + "\",\"client\":\"" + base::toString(request.client) + "\"}", {}};
+        return LookupResponse{200, "{\"service\":\"" + request.service + "\",\"client\":\"" + base::toString(request.client) + "\"}", {}};
     };
     io.call([&]() {
         upstreams = std::make_unique<UpstreamClient>(io.context, upstreamOptions);
@@ -270,7 +270,7 @@
 {
     engine::Forward command;
     command.id = request.id;
-    command.attemptId = base::AttemptId {++m_lastAttempt};
+    command.attemptId = base::AttemptId{++m_lastAttempt};
     command.service = "booking";
     command.upstream = "u1";
     command.address = to;
--- a/src/http/test_support.hpp
+++ b/src/http/test_support.hpp
@@ -23,7 +23,7 @@
 {
 
 /// Guards against a test that hangs; no assertion depends on it.
-inline constexpr std::chrono::seconds s_hangLimit {20};
+inline constexpr std::chrono::seconds s_hangLimit{20};
 
 /// Message as it came over the wire.
 struct WireMessage {
@@ -169,7 +169,7 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<engine::Event> m_events;
-    std::uint64_t m_lastAttempt {};
+    std::uint64_t m_lastAttempt{};
 };
 
 } // namespace trefoilstile::http::testing
--- a/src/http/upstream_call.hpp
+++ b/src/http/upstream_call.hpp
@@ -79,8 +79,8 @@
     std::shared_ptr<Connection> m_connection;
     std::optional<ResponseReader> m_reader;
     asio::steady_timer m_pause;
-    std::uint64_t m_sentBytes {};
-    std::uint64_t m_bodyBytes {};
+    std::uint64_t m_sentBytes{};
+    std::uint64_t m_bodyBytes{};
     bool m_sendStarted = false;
     bool m_sendFailed = false; ///< the connection is out of step and must not be reused
     bool m_cancelled = false;
