--- a/include/trefoilstile/engine/command.hpp
+++ b/include/trefoilstile/engine/command.hpp
@@ -72,9 +72,9 @@
     std::uint16_t status = 503; ///< HTTP status
     Outcome outcome = Outcome::Unknown;
     RejectReason reason = RejectReason::NoUpstream;
+    base::Duration retryAfter{}; ///< jittered; 0 if a retry has no use
     std::string service; ///< empty if no route matched
     base::PriorityClass priorityClass = base::PriorityClass::Interactive;
-    base::Duration retryAfter{}; ///< jittered; 0 if a retry has no use
 };
 
 /// Respond to the caller with the kept response of an earlier request with the same key.
--- a/include/trefoilstile/engine/engine.hpp
+++ b/include/trefoilstile/engine/engine.hpp
@@ -36,6 +36,10 @@
 namespace trefoilstile::engine
 {
 
+/// What can be said of a request that is rejected before its key was looked up. An earlier attempt with the key may have
+/// run, here or at another instance, so `not-run` is told only without a key or to the caller's first attempt.
+Outcome outcomeBeforeKeyTable(const RequestArrived &event);
+
 struct EngineOptions {
     std::string name; ///< of this instance in the member list
     std::string environment; ///< chooses the addresses of upstreams
--- a/include/trefoilstile/engine/held_request.hpp
+++ b/include/trefoilstile/engine/held_request.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/base/ip.hpp"
 #include "trefoilstile/base/priority_class.hpp"
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/upstream/upstream_set.hpp"
@@ -37,6 +38,7 @@
     std::uint64_t fingerprint{};
     std::optional<std::uint32_t> repeat;
     bool relayed = false;
+    base::IpAddress client;
     bool callerGone = false;
     base::TimePoint arrival;
     base::TimePoint deadline; ///< of the first byte of the response; for a resumption, of its start
--- a/src/daemon/caller_duty.cpp
+++ b/src/daemon/caller_duty.cpp
@@ -73,7 +73,7 @@
     const auto *arrival = std::get_if<engine::RequestArrived>(&event);
     if (arrival != nullptr && m_toDecisions.free() <= s_maximumRequests * s_entriesPerRequest) {
         const base::Duration retryAfter = base::jittered(s_lookupRetry, s_lookupRetrySpread, m_random);
-        m_server.execute(engine::Reject{arrival->id, 503, engine::Outcome::NotRun, engine::RejectReason::QueueFull, {}, {}, retryAfter});
+        m_server.execute(engine::Reject{arrival->id, 503, engine::outcomeBeforeKeyTable(*arrival), engine::RejectReason::QueueFull, retryAfter, {}, {}});
         return;
     }
     m_toDecisions.push(std::move(event));
--- a/src/engine/attempts.cpp
+++ b/src/engine/attempts.cpp
@@ -38,6 +38,10 @@
         rejectUnstarted(request, RejectReason::DeadlinePassed, now);
         return;
     }
+    if (!request.relayed && !admitsFrom(request.client, request.priorityClass, now)) {
+        rejectUnstarted(request, RejectReason::ShiftCap, now);
+        return;
+    }
     const admission::QueuedRequest queued{request.id, request.priorityClass, request.arrival, request.deadline};
     switch (service.scheduler.enqueue(queued, now, slots(service, now))) {
     case admission::Admission::QueueFull:
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -7,6 +7,11 @@
 namespace trefoilstile::engine
 {
 
+Outcome outcomeBeforeKeyTable(const RequestArrived &event)
+{
+    return event.idempotencyKey.empty() || event.repeat == 0U ? Outcome::NotRun : Outcome::Unknown;
+}
+
 Engine::Engine(EngineOptions options, base::TimePoint now)
     : m_options(std::move(options))
     , m_random(m_options.seed)
@@ -105,17 +110,18 @@
     request.id = event.id;
     request.arrival = now;
     request.relayed = event.relayed;
+    const Outcome early = outcomeBeforeKeyTable(event);
     if (!m_document) {
-        reject(request, 503, Outcome::NotRun, RejectReason::NotReady, now);
+        reject(request, 503, early, RejectReason::NotReady, now);
         return;
     }
     if (!routing::isCanonicalPath(event.path)) {
-        reject(request, 400, Outcome::NotRun, RejectReason::PathNotCanonical, now);
+        reject(request, 400, early, RejectReason::PathNotCanonical, now);
         return;
     }
     const std::optional<routing::RouteMatch> match = m_routes->match(event.host, event.path, event.method);
     if (!match) {
-        reject(request, 404, Outcome::NotRun, RejectReason::NoRoute, now);
+        reject(request, 404, early, RejectReason::NoRoute, now);
         return;
     }
     const document::Service &service = m_document->services[match->service];
@@ -126,10 +132,7 @@
     request.priorityClass = route.priorityClass;
     request.idempotent = route.idempotent;
     request.deadline = now + std::min(timeout, event.timeLeft.value_or(timeout));
-    if (!event.relayed && !admitsFrom(event.client, route.priorityClass, now)) {
-        reject(request, 503, Outcome::NotRun, RejectReason::ShiftCap, now);
-        return;
-    }
+    request.client = event.client;
     if (!route.idempotent && !event.idempotencyKey.empty()) {
         request.key = event.idempotencyKey;
         request.fingerprint = event.fingerprint;
@@ -273,7 +276,7 @@
 
 void Engine::reject(HeldRequest &request, std::uint16_t status, Outcome outcome, RejectReason reason, base::TimePoint now)
 {
-    Reject command{request.id, status, outcome, reason, {}, request.priorityClass, {}};
+    Reject command{request.id, status, outcome, reason, {}, {}, request.priorityClass};
     if (request.service != nullptr) {
         ServiceState &service = *request.service;
         command.service = service.name;
--- a/src/engine/engine_test.cpp
+++ b/src/engine/engine_test.cpp
@@ -345,6 +345,30 @@
     BOOST_TEST(world.replays[0].response->body == "done");
 }
 
+BOOST_AUTO_TEST_CASE(repeatThatIsRejectedEarlyIsNotToldNotRun)
+{
+    // An earlier attempt with the key may have run at another instance, whatever this one thinks of the request.
+    engine::Engine unready({"e9", "production", "north", "north-a", s_peer, 1, 2s, {}, {}}, base::TimePoint(1s));
+    std::vector<Reject> rejects;
+    const auto sink = [&rejects](Command command) {
+        rejects.push_back(std::get<Reject>(command));
+    };
+    RequestArrived event;
+    event.id = base::RequestId{1};
+    event.idempotencyKey = "own-1";
+    unready.handle(event, base::TimePoint(1s), sink);
+    event.id = base::RequestId{2};
+    event.repeat = 0;
+    unready.handle(event, base::TimePoint(1s), sink);
+    event.id = base::RequestId{3};
+    event.repeat = 1;
+    unready.handle(event, base::TimePoint(1s), sink);
+    BOOST_TEST_REQUIRE(rejects.size() == 3U);
+    BOOST_TEST((rejects[0].outcome == Outcome::Unknown));
+    BOOST_TEST((rejects[1].outcome == Outcome::NotRun));
+    BOOST_TEST((rejects[2].outcome == Outcome::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(keyOfAnotherInstanceIsRelayedOrUnknown)
 {
     Embedder world;
--- a/src/http/caller_server_test.cpp
+++ b/src/http/caller_server_test.cpp
@@ -47,18 +47,18 @@
     ServerFixture fixture;
     Peer caller(fixture.address);
     caller.write(s_get);
-    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 503, engine::Outcome::NotRun, {}, std::chrono::milliseconds(1001)});
+    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 503, engine::Outcome::NotRun, {}, std::chrono::milliseconds(1001), {}, {}});
     const auto first = caller.read();
     BOOST_TEST(first.status() == 503);
     BOOST_TEST(first.has("Trefoilstile-Outcome: not-run"));
     BOOST_TEST(first.has("Retry-After: 2"));
     caller.write(s_get);
-    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 504, engine::Outcome::Unknown, {}, std::chrono::milliseconds(1)});
+    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 504, engine::Outcome::Unknown, {}, std::chrono::milliseconds(1), {}, {}});
     const auto second = caller.read();
     BOOST_TEST(second.has("Trefoilstile-Outcome: unknown"));
     BOOST_TEST(second.has("Retry-After: 1"));
     caller.write(s_get);
-    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 404, engine::Outcome::NotRun, {}, {}});
+    fixture.execute(engine::Reject{fixture.next<RequestArrived>().id, 404, engine::Outcome::NotRun, {}, {}, {}, {}});
     BOOST_TEST(caller.read().head.find("Retry-After") == std::string::npos);
     BOOST_TEST(fixture.io.call([&]() {
         return fixture.server->requests();
@@ -160,7 +160,7 @@
     Peer second(fixture.address);
     second.write(s_get);
     BOOST_TEST(second.read().status() == 503);
-    fixture.execute(engine::Reject{held.id, 503, engine::Outcome::NotRun, {}, {}});
+    fixture.execute(engine::Reject{held.id, 503, engine::Outcome::NotRun, {}, {}, {}, {}});
     BOOST_TEST(first.read().status() == 503);
     // The connection ends after the request has been let go, so both bounds are free again.
     BOOST_TEST(first.closedByOther());
