Pass samples by reference

Cause: the linter found a move that copies. Ruled out: an exemption. Before: one finding in src/daemon. Conclusion: ring entries are copied once.

--- a/src/daemon/decision_duty.cpp
+++ b/src/daemon/decision_duty.cpp
@@ -122,9 +122,9 @@
     m_timings.erase(timing);
 }
 
-void DecisionDuty::sample(ReportInput input)
+void DecisionDuty::sample(const ReportInput &input)
 {
-    m_outputs.reports->tryPush(std::move(input)); // a figure may be lost, a request may not
+    m_outputs.reports->tryPush(input); // a figure may be lost, a request may not
 }
 
 void DecisionDuty::publish()
--- a/src/daemon/decision_duty.hpp
+++ b/src/daemon/decision_duty.hpp
@@ -60,7 +60,7 @@
     void reportStatus(base::TimePoint now);
     void beginStop(base::TimePoint now);
     void advanceStop(base::TimePoint now);
-    void sample(ReportInput input);
+    void sample(const ReportInput &input);
 
     boost::asio::steady_timer m_timer;
     std::string m_environment;
