--- a/src/http/test_support.cpp
+++ b/src/http/test_support.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -78,6 +79,9 @@
 
 bool Peer::write(std::string_view bytes)
 {
+    // Without it, a small write waits for the acknowledgement of the one before.
+    const int on = 1;
+    ::setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     while (!bytes.empty()) {
         const auto count = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (count <= 0) {
