Share the coding of request targets and shorten the client's errors

Cause: trefoilctl puts operators' input into a request target, and its messages named the address of a port twice. Ruled out: a second copy of the coding in the ctl module. Before: percentEncoded was private to the platform client; errors of HttpConnection began with the address. After: it is public; errors begin with the step, and the platform client puts its own prefix before them. Conclusion: each layer names what it knows.

--- a/include/trefoilstile/platform/http_connection.hpp
+++ b/include/trefoilstile/platform/http_connection.hpp
@@ -24,6 +24,9 @@
 /// Endpoint read from `IP:port` (IPv6: `[IP]:port`), or nothing. Port 0 is refused.
 std::optional<Endpoint> parseEndpoint(std::string_view text);
 
+/// Text for use in a path or query: everything but unreserved characters as `%XX`.
+std::string percentEncoded(std::string_view text);
+
 struct HttpOptions {
     base::Duration connectTimeout = std::chrono::milliseconds(500); ///< 14 times the longest round trip between regions
     base::Duration readTimeout = std::chrono::seconds(2); ///< without any byte of the response
--- a/include/trefoilstile/platform/platform_client.hpp
+++ b/include/trefoilstile/platform/platform_client.hpp
@@ -15,10 +15,10 @@
 {
 
 struct PlatformClientOptions {
-    Endpoint endpoint {};
-    HttpOptions http {};
-    CircuitBreakerOptions breaker {};
-    PurposeBudgetOptions budgets {};
+    Endpoint endpoint{};
+    HttpOptions http{};
+    CircuitBreakerOptions breaker{};
+    PurposeBudgetOptions budgets{};
 };
 
 /// Used by one thread. Rejections with 4xx and failures before anything was sent are `Unavailable`; a write whose answer
--- a/src/platform/circuit_breaker_test.cpp
+++ b/src/platform/circuit_breaker_test.cpp
@@ -30,7 +30,7 @@
                 RC_ASSERT(!wasProbing);
                 RC_ASSERT(breaker.state() == BreakerState::Closed || now >= breaker.retryAt());
                 probing = breaker.state() == BreakerState::HalfOpen;
-                running = probing ? std::vector {*permit} : running;
+                running = probing ? std::vector{*permit} : running;
                 if (!probing) {
                     running.push_back(*permit);
                 }
@@ -79,7 +79,7 @@
 BOOST_AUTO_TEST_CASE(waitsAreSpreadAndGrow)
 {
     Duration shortest = Duration::max();
-    Duration longest {};
+    Duration longest{};
     for (std::uint64_t seed = 0; seed < 50; ++seed) {
         CircuitBreaker breaker({.failuresToOpen = 1});
         SplitMix64 random(seed);
--- a/src/platform/document_store_test.cpp
+++ b/src/platform/document_store_test.cpp
@@ -130,7 +130,7 @@
     FakeStore store;
     DocumentStore(store).submit(submission("a"));
     const std::string hash = trefoilstile::document::contentHash("bytes of a");
-    BOOST_TEST(store.requests == (std::vector<std::string> {s_path, hash, s_path}), boost::test_tools::per_element());
+    BOOST_TEST(store.requests == (std::vector<std::string>{s_path, hash, s_path}), boost::test_tools::per_element());
     BOOST_TEST(DocumentStore(store).bytes(hash) == "bytes of a");
 }
 
--- a/src/platform/drain_store_test.cpp
+++ b/src/platform/drain_store_test.cpp
@@ -54,7 +54,7 @@
     RC_ASSERT(row.generation.value == store.log["drains/trial"].size());
     RC_ASSERT(row.drains.size() == row.generation.value);
     for (std::size_t i = 0; i < told.size(); ++i) {
-        const bool listed = std::count(row.drains.begin(), row.drains.end(), Drain {DrainKind::Upstream, "u" + std::to_string(i)}) == 1;
+        const bool listed = std::count(row.drains.begin(), row.drains.end(), Drain{DrainKind::Upstream, "u" + std::to_string(i)}) == 1;
         RC_ASSERT(told[i] != Told::Done || listed);
         RC_ASSERT(told[i] != Told::NotDone || !listed);
     }
@@ -65,7 +65,7 @@
 {
     FakeStore store;
     store.faults = {Fault::None, Fault::AnswerLost};
-    const Drain drain {DrainKind::Region, "malabar"};
+    const Drain drain{DrainKind::Region, "malabar"};
     int requests = 0;
     store.beforeRequest = [&] {
         if (++requests == 3) {
@@ -81,7 +81,7 @@
 {
     FakeStore store;
     DrainStore drains(store);
-    const DrainChange change {DrainChange::Action::Add, {DrainKind::Entry, "e1"}};
+    const DrainChange change{DrainChange::Action::Add, {DrainKind::Entry, "e1"}};
     drains.change("trial", change, "a");
     const auto again = std::get<DrainApplied>(drains.change("trial", change, "b"));
     BOOST_TEST(!again.changed);
--- a/src/platform/fake_store.hpp
+++ b/src/platform/fake_store.hpp
@@ -102,7 +102,7 @@
 private:
     struct Write {
         std::string path;
-        std::uint64_t ifVersion {};
+        std::uint64_t ifVersion{};
         std::string value;
         bool removes = false;
     };
@@ -181,8 +181,8 @@
 
     std::map<std::string, Row> m_rows;
     std::deque<Write> m_delayed;
-    std::size_t m_sinceDelay {};
-    std::uint64_t m_lastVersion {};
+    std::size_t m_sinceDelay{};
+    std::uint64_t m_lastVersion{};
 };
 
 } // namespace trefoilstile::platform::testing
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -54,6 +54,20 @@
     return Endpoint{std::string(address), port};
 }
 
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    std::string encoded;
+    for (const char letter : text) {
+        if (unreserved.find(letter) != std::string_view::npos) {
+            encoded += letter;
+        } else {
+            encoded += fmt::format("%{:02X}", static_cast<unsigned char>(letter));
+        }
+    }
+    return encoded;
+}
+
 HttpError::HttpError(const std::string &message, bool nothingSent, bool timedOut)
     : PlatformError(message)
     , m_nothingSent(nothingSent)
@@ -217,7 +231,7 @@
 
     [[noreturn]] void fail(const char *step, beast::error_code error, bool nothingSent) const
     {
-        throw HttpError(fmt::format("{}:{}: {}: {}", m_endpoint.address, m_endpoint.port, step, error.message()), nothingSent, error == beast::error::timeout);
+        throw HttpError(fmt::format("{}: {}", step, error.message()), nothingSent, error == beast::error::timeout);
     }
 
     Endpoint m_endpoint;
--- a/src/platform/http_connection_test.cpp
+++ b/src/platform/http_connection_test.cpp
@@ -15,11 +15,11 @@
 namespace
 {
 
-const HttpRequest s_read {"GET", "/r", {}, {}, true};
-const HttpRequest s_write {"PUT", "/w", {{"If-Version", "3"}}, "body", false};
+const HttpRequest s_read{"GET", "/r", {}, {}, true};
+const HttpRequest s_write{"PUT", "/w", {{"If-Version", "3"}}, "body", false};
 
 /// No time limit that a slow machine could meet.
-const HttpOptions s_patient {.connectTimeout = 1h, .readTimeout = 1h, .totalTimeout = 1h, .maximumIdle = 1h};
+const HttpOptions s_patient{.connectTimeout = 1h, .readTimeout = 1h, .totalTimeout = 1h, .maximumIdle = 1h};
 
 Endpoint endpoint(std::uint16_t port)
 {
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -27,21 +27,6 @@
     return status >= 200 && status < 300;
 }
 
-/// Text for use in a path or query: everything but unreserved characters as `%XX`.
-std::string percentEncoded(std::string_view text)
-{
-    constexpr std::string_view unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
-    std::string encoded;
-    for (const char letter : text) {
-        if (unreserved.find(letter) != std::string_view::npos) {
-            encoded += letter;
-        } else {
-            encoded += fmt::format("%{:02X}", static_cast<unsigned char>(letter));
-        }
-    }
-    return encoded;
-}
-
 std::string rowTarget(std::string_view table, std::string_view key)
 {
     return fmt::format("/tables/{}/rows/{}", percentEncoded(table), percentEncoded(key));
@@ -259,9 +244,9 @@
         }
         m_breakerState = m_breaker.state();
         if (access == Access::Write && !error.nothingSent()) {
-            throw OutcomeUnknown(error.what());
+            throw OutcomeUnknown(fmt::format("platform: {}", error.what()));
         }
-        throw Unavailable(error.what());
+        throw Unavailable(fmt::format("platform: {}", error.what()));
     } catch (...) {
         m_breaker.recordAbandoned(*permit);
         throw;
--- a/src/platform/platform_client_test.cpp
+++ b/src/platform/platform_client_test.cpp
@@ -18,7 +18,7 @@
 {
 
 /// No time limit that a slow machine could meet.
-const HttpOptions s_patient {.connectTimeout = 1h, .readTimeout = 1h, .totalTimeout = 1h, .maximumIdle = 1h};
+const HttpOptions s_patient{.connectTimeout = 1h, .readTimeout = 1h, .totalTimeout = 1h, .maximumIdle = 1h};
 
 /// Client of a scripted server, with a clock that the test sets.
 struct Setup {
@@ -44,7 +44,7 @@
     }
 };
 
-const Step s_closed {"", Step::End::Close};
+const Step s_closed{"", Step::End::Close};
 
 } // namespace
 
@@ -58,12 +58,12 @@
         {response(409, R"({"version":9,"value":{"b":2}})")},
         {response(200, R"([{"key":"a/b","version":1,"value":3}])")},
         {response(200, R"({"version":0})")}});
-    BOOST_TEST((setup.client.readRow("t", "a/b", {}) == Row {7, R"({"a":1})"}));
+    BOOST_TEST((setup.client.readRow("t", "a/b", {}) == Row{7, R"({"a":1})"}));
     BOOST_TEST(setup.client.readRow("t", "k", {}).version == 0U);
     BOOST_TEST(setup.client.writeRow("t", "k", 7, "{}", {}).row.version == 8U);
     const WriteResult conflict = setup.client.writeRow("t", "k", 7, "{}", {});
     BOOST_TEST(!conflict.applied);
-    BOOST_TEST((conflict.row == Row {9, R"({"b":2})"}));
+    BOOST_TEST((conflict.row == Row{9, R"({"b":2})"}));
     BOOST_TEST(setup.client.listRows("t", "a/", {}).at(0).key == "a/b");
     BOOST_TEST(setup.client.removeRow("t", "k", 7, {}).applied);
     const auto requests = setup.server.requests();
@@ -127,7 +127,7 @@
 // A probe that the budget stops must not leave the breaker waiting for its outcome for ever.
 BOOST_AUTO_TEST_CASE(budgetsDoNotBlockTheBreaker)
 {
-    PlatformClientOptions options {.http = s_patient, .breaker = {.failuresToOpen = 1}};
+    PlatformClientOptions options{.http = s_patient, .breaker = {.failuresToOpen = 1}};
     options.budgets.rates[0] = {{{1, 1}, {0, 0}, {0, 0}}};
     Setup setup({s_closed, s_closed, {response(404, "")}}, options);
     BOOST_CHECK_THROW(setup.client.readRow("t", "k", {}), Unavailable);
--- a/src/platform/purpose_budgets_test.cpp
+++ b/src/platform/purpose_budgets_test.cpp
@@ -30,9 +30,9 @@
     const PurposeBudgetOptions options;
     PurposeBudgets budgets(options);
     TimePoint now;
-    std::array<std::array<double, s_purposeCount>, s_accessCount> granted {};
-    std::array<std::array<double, s_purposeCount>, s_accessCount> own {}; // tokens if each purpose were alone
-    std::array<std::size_t, s_accessCount> highestBorrower {s_purposeCount, s_purposeCount};
+    std::array<std::array<double, s_purposeCount>, s_accessCount> granted{};
+    std::array<std::array<double, s_purposeCount>, s_accessCount> own{}; // tokens if each purpose were alone
+    std::array<std::size_t, s_accessCount> highestBorrower{s_purposeCount, s_purposeCount};
     for (std::size_t access = 0; access < s_accessCount; ++access) {
         for (std::size_t purpose = 0; purpose < s_purposeCount; ++purpose) {
             own[access][purpose] = options.rates[access][purpose].burst;
--- a/src/platform/scripted_server.hpp
+++ b/src/platform/scripted_server.hpp
@@ -25,7 +25,7 @@
         Hang, ///< the bytes are sent, then nothing until the client closes
     };
 
-    std::string bytes {};
+    std::string bytes{};
     End end = End::KeepOpen;
 };
 
@@ -42,7 +42,7 @@
         : m_steps(std::move(steps))
         , m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address {};
+        sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
@@ -110,14 +110,14 @@
         }
         const Step &step = m_steps[m_next++];
         send(m_connection, step.bytes.data(), step.bytes.size(), MSG_NOSIGNAL);
-        char dropped {};
+        char dropped{};
         while (step.end == Step::End::Hang && recv(m_connection, &dropped, 1, 0) > 0) {}
         return step.end == Step::End::KeepOpen;
     }
 
     bool readRequest(std::string &request) const
     {
-        char byte {};
+        char byte{};
         while (!request.ends_with("\r\n\r\n")) {
             if (recv(m_connection, &byte, 1, 0) <= 0) {
                 return false;
@@ -133,11 +133,11 @@
     }
 
     std::vector<Step> m_steps;
-    std::size_t m_next {}; ///< of the server's thread
+    std::size_t m_next{}; ///< of the server's thread
     int m_listener;
-    std::atomic<int> m_connection {-1};
-    std::atomic<int> m_connections {0};
-    std::uint16_t m_port {};
+    std::atomic<int> m_connection{-1};
+    std::atomic<int> m_connections{0};
+    std::uint16_t m_port{};
     mutable std::mutex m_mutex; ///< guards `m_requests`
     std::vector<std::string> m_requests;
     std::thread m_thread;
