Add the ctl module and trefoilctl

Cause: operators act only through documents and planned drains, and need a tool whose exit status can be scripted on. Ruled out: status 3 for a store that cannot be reached before anything was written, since nothing was done for certain; counting a change as in effect when a failure domain of the document has no known instance in production, since its instances may be running behind a partition; apply to production, since documents get there by promotion. Before: nothing. Conclusion: status 1 means certainly not done, 3 means that it may be done or is not everywhere.

--- /dev/null
+++ b/src/ctl/command_support.hpp
@@ -0,0 +1,34 @@
+// Steps that several commands share.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "trefoilstile/ctl/commands.hpp"
+#include "trefoilstile/document/steering_document.hpp"
+#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/platform/submission.hpp"
+
+namespace trefoilstile::ctl
+{
+
+/// Report with the command's name in the JSON.
+Report newReport(std::string_view command);
+
+/// Ends a report with a rejection.
+Report rejected(Report report, std::string message);
+
+/// Ends a report whose outcome is not known.
+Report unknown(Report report, std::string message);
+
+/// Settles a write until its outcome is known or the deadline has passed. The result is `Unsettled` only in that case.
+platform::SubmitResult settleUntil(Context &context, platform::SubmitResult result, base::TimePoint deadline);
+
+/// Failure domains that must have an instance in the environment: in production those of the document.
+std::vector<std::string> requiredDomains(const Context &context, std::string_view environment, const document::SteeringDocument &document);
+
+/// Waits for the change and ends the report accordingly.
+Report concludeWhenInEffect(Context &context, Report report, const EffectTarget &target, base::TimePoint deadline);
+
+} // namespace trefoilstile::ctl
--- /dev/null
+++ b/src/ctl/drain_command.cpp
@@ -0,0 +1,174 @@
+// Commands that change the drain list.
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "command_support.hpp"
+#include "trefoilstile/document/parse.hpp"
+#include "trefoilstile/platform/document_store.hpp"
+
+namespace trefoilstile::ctl
+{
+
+namespace
+{
+
+using Names = std::set<std::string>;
+using platform::DrainChange;
+
+/// Limit for one poll of one operator port.
+constexpr base::Duration s_pollLimit = std::chrono::seconds(1);
+
+std::optional<document::SteeringDocument> documentInEffect(Context &context, std::string_view environment)
+{
+    platform::DocumentStore documents(context.store);
+    const std::optional<platform::DocumentRow> row = documents.row(environment);
+    if (!row) {
+        return std::nullopt;
+    }
+    return document::parseDocument(documents.bytes(row->hash));
+}
+
+Names namesInDocument(const document::SteeringDocument &document, engine::DrainKind kind)
+{
+    Names names;
+    for (const document::Region &region : document.regions) {
+        if (kind == engine::DrainKind::Region) {
+            names.insert(region.name);
+        }
+        for (const document::FailureDomain &domain : region.failureDomains) {
+            if (kind == engine::DrainKind::FailureDomain) {
+                names.insert(domain.name);
+            }
+        }
+    }
+    for (const document::Service &service : document.services) {
+        for (const document::Upstream &upstream : service.upstreams) {
+            if (kind == engine::DrainKind::Upstream) {
+                names.insert(upstream.name);
+            }
+        }
+    }
+    return names;
+}
+
+Names entryNames(Context &context, std::string_view environment)
+{
+    Names names;
+    for (const PortView &view : pollStatus(context.ports, environment, s_pollLimit)) {
+        if (!view.status) {
+            continue;
+        }
+        names.insert(view.status->self.name);
+        for (const MemberStatus &member : view.status->members) {
+            names.insert(member.name);
+        }
+    }
+    return names;
+}
+
+Names drainedNames(Context &context, std::string_view environment, engine::DrainKind kind)
+{
+    Names names;
+    for (const engine::Drain &drain : platform::DrainStore(context.store).row(environment).drains) {
+        if (drain.kind == kind) {
+            names.insert(drain.name);
+        }
+    }
+    return names;
+}
+
+/// Names that the change may have: known ones for a drain, drained ones for an undrain.
+Names allowedNames(Context &context, std::string_view environment, const DrainChange &change, const std::optional<document::SteeringDocument> &document)
+{
+    const engine::DrainKind kind = change.drain.kind;
+    if (change.action == DrainChange::Action::Remove) {
+        return drainedNames(context, environment, kind);
+    }
+    if (kind == engine::DrainKind::Entry) {
+        return entryNames(context, environment);
+    }
+    return document ? namesInDocument(*document, kind) : Names();
+}
+
+Report rejectedName(Report report, const DrainChange &change, const Names &allowed)
+{
+    const std::string_view kind = platform::toString(change.drain.kind);
+    const bool adds = change.action == DrainChange::Action::Add;
+    report.json[adds ? "known" : "drained"] = allowed;
+    return rejected(std::move(report),
+        fmt::format("{} {} is not {}; {} names of that kind: {}",
+            kind,
+            change.drain.name,
+            adds ? "known" : "drained",
+            adds ? "known" : "drained",
+            allowed.empty() ? "none" : fmt::format("{}", fmt::join(allowed, ", "))));
+}
+
+/// Makes the change, starting anew when a lost answer turns out to be a lost race.
+platform::DrainResult makeChange(
+    Context &context, std::string_view environment, const DrainChange &change, const std::string &submission, base::TimePoint deadline)
+{
+    for (;;) {
+        platform::DrainResult result = platform::DrainStore(context.store).change(environment, change, submission);
+        auto *unsettled = std::get_if<platform::Unsettled>(&result);
+        if (unsettled == nullptr) {
+            return result;
+        }
+        platform::SubmitResult settled = settleUntil(context, std::move(*unsettled), deadline);
+        if (const auto *accepted = std::get_if<platform::Accepted>(&settled)) {
+            return platform::DrainApplied{accepted->generation};
+        }
+        if (auto *stillUnsettled = std::get_if<platform::Unsettled>(&settled)) {
+            return std::move(*stillUnsettled);
+        }
+    }
+}
+
+} // namespace
+
+Report changeDrain(Context &context, std::string_view environment, const DrainChange &change)
+{
+    const bool adds = change.action == DrainChange::Action::Add;
+    const base::TimePoint deadline = context.pacer.now() + context.wait;
+    const std::string submission = context.newSubmissionId();
+    Report report = newReport(adds ? "drain" : "undrain");
+    report.json["environment"] = environment;
+    report.json["kind"] = platform::toString(change.drain.kind);
+    report.json["name"] = change.drain.name;
+
+    std::optional<document::SteeringDocument> document;
+    std::optional<platform::DrainResult> result;
+    try {
+        document = documentInEffect(context, environment);
+        const Names allowed = allowedNames(context, environment, change, document);
+        if (!allowed.contains(change.drain.name)) {
+            return rejectedName(std::move(report), change, allowed);
+        }
+        result = makeChange(context, environment, change, submission, deadline);
+    } catch (const base::Error &error) {
+        return rejected(std::move(report), fmt::format("not changed: {}", error.what()));
+    }
+    if (const auto *unsettled = std::get_if<platform::Unsettled>(&*result)) {
+        return unknown(std::move(report), fmt::format("not known whether submission {} was accepted: {}", submission, unsettled->reason));
+    }
+    const auto applied = std::get<platform::DrainApplied>(*result);
+    report.json["drain_generation"] = applied.generation.value;
+    report.json["submission"] = applied.changed ? nlohmann::ordered_json(submission) : nlohmann::ordered_json();
+    report.say(fmt::format("{} {} {} in {}, drain generation {}",
+        platform::toString(change.drain.kind),
+        change.drain.name,
+        applied.changed ? (adds ? "is drained" : "is no longer drained") : (adds ? "was drained before" : "was not drained"),
+        environment,
+        applied.generation.value));
+    EffectTarget target{EffectTarget::Kind::Drains, std::string(environment), applied.generation, {}, {}};
+    if (document) {
+        target.requiredDomains = requiredDomains(context, environment, *document);
+    }
+    return concludeWhenInEffect(context, std::move(report), target, deadline);
+}
+
+} // namespace trefoilstile::ctl
