--- a/src/shift/shift_model.hpp
+++ b/src/shift/shift_model.hpp
@@ -27,9 +27,9 @@
 };
 
 struct Step {
-    std::uint32_t kind {};
-    std::uint32_t a {};
-    std::uint32_t b {};
+    std::uint32_t kind{};
+    std::uint32_t a{};
+    std::uint32_t b{};
 };
 
 class Model
@@ -45,6 +45,7 @@
 
     std::optional<std::string> violation;
     int loansUsed = 0; ///< grants that were accepted
+    int extensions = 0; ///< those of them that extended a loan
     int responses = 0; ///< lookup responses given out
     double highest = 0; ///< highest use in a window as a part of the cap
 
@@ -60,7 +61,7 @@
     };
     struct Instance {
         base::IncarnationId incarnation;
-        std::uint64_t generation {};
+        std::uint64_t generation{};
         double clockRate = 1;
         base::TimePoint startedAt; ///< true time
         std::optional<base::TimePoint> pausedAt; ///< local time
@@ -71,21 +72,23 @@
         std::vector<LoanId> asked;
     };
     struct Document {
-        std::uint64_t generation {};
-        double cap {};
-        std::uint32_t instances {};
+        std::uint64_t generation{};
+        double cap{};
+        std::uint32_t instances{};
         base::TimePoint lastInEffect; ///< true time up to which use under it counts
     };
     struct Use {
         base::TimePoint from;
         base::TimePoint to; ///< the same for a request; the end of the TTL for a commitment
-        Units units {};
+        Units units{};
     };
 
     base::TimePoint local(const Instance &instance) const;
     base::TimePoint decisionTime(Instance &instance) const;
     void replace(Instance &instance, std::uint32_t a);
-    void adopt(Instance &instance, Document &document);
+    void adopt(Instance &instance, const Document &document);
+    void publish(std::uint32_t a, std::uint32_t b);
+    void update(Instance &instance);
     void act(Instance &instance, std::uint32_t a, std::uint32_t b);
     void spend(Instance &instance, std::uint32_t a);
     void spendAll();
@@ -99,7 +102,7 @@
 
     Fault m_fault;
     ShiftOptions m_options;
-    base::TimePoint m_now {}; ///< true time
+    base::TimePoint m_now{}; ///< true time
     std::array<Instance, s_instances> m_instances;
     std::vector<Document> m_documents; ///< oldest first
     std::vector<Message> m_network;
