Say unknown when a keyed request is rejected before its key is looked up

Ruled out: keeping not-run for a full connection table: the request has not been read, so whether it has a key is not known. Before: a repeat with two Host fields was told not-run. Conclusion: not-run comes from the engine and the key table, or for requests without a key.

--- a/include/trefoilstile/http/caller_server.hpp
+++ b/include/trefoilstile/http/caller_server.hpp
@@ -39,7 +39,7 @@
     std::string listenAddress = "127.0.0.1:0"; ///< `IP:port`; port 0 chooses a free one
     std::uint64_t bodyLimit = 1U << 20U; ///< bytes of one request body; larger ones get 413
     std::uint64_t totalBodyLimit = 64U << 20U; ///< bytes of all request bodies held; beyond it requests get 503 `not-run`
-    std::size_t maximumConnections = 4096; ///< further ones get 503 `not-run` and are closed
+    std::size_t maximumConnections = 4096; ///< further ones get 503 `unknown` and are closed, as their requests are not read
     std::size_t maximumRequests = 2048; ///< requests in progress; further ones get 503 `not-run`
     base::Duration idleTimeout = std::chrono::seconds(60); ///< between requests of a connection
     base::Duration headTimeout = std::chrono::seconds(10); ///< from the first byte of a head to its end, so that slow senders hold nothing for long
--- a/src/http/arrival.cpp
+++ b/src/http/arrival.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "trefoilstile/idempotency/issued_key.hpp"
+
 namespace trefoilstile::http
 {
 
@@ -14,6 +16,10 @@
 // About 11 days; more cannot be meant, and the product with a million must not overflow.
 constexpr std::uint64_t s_longestDeadlineMs = 1'000'000'000;
 
+constexpr const char *s_keyHeader = "Idempotency-Key";
+constexpr const char *s_repeatHeader = "Trefoilstile-Repeat"; // the caller's number of this attempt with the key, from 0
+constexpr std::uint64_t s_highestRepeat = 1'000'000; // far above the retries that one deadline allows
+
 bool isVisible(std::string_view text)
 {
     return std::all_of(text.begin(), text.end(), [](char character) {
@@ -37,16 +43,24 @@
         }
         arrived.host = *name;
     }
-    for (const char *name : {"Idempotency-Key", "Trefoilstile-Deadline-Ms", "Trefoilstile-Relayed"}) {
+    for (const char *name : {s_keyHeader, s_repeatHeader, "Trefoilstile-Deadline-Ms", "Trefoilstile-Relayed"}) {
         if (countHeader(request.headers, name) > 1) {
             return std::nullopt;
         }
     }
-    if (const std::string *key = findHeader(request.headers, "Idempotency-Key")) {
+    if (const std::string *key = findHeader(request.headers, s_keyHeader)) {
         if (key->empty() || key->size() > s_longestKey || !isVisible(*key)) {
             return std::nullopt;
         }
         arrived.idempotencyKey = *key;
+        arrived.fingerprint = idempotency::fingerprintOf(request.method, request.target, request.body).value;
+    }
+    if (const std::string *repeat = findHeader(request.headers, s_repeatHeader)) {
+        const auto number = parseNumber(*repeat);
+        if (!number || *number > s_highestRepeat) {
+            return std::nullopt;
+        }
+        arrived.repeat = static_cast<std::uint32_t>(*number);
     }
     if (const std::string *deadline = findHeader(request.headers, "Trefoilstile-Deadline-Ms")) {
         const auto milliseconds = parseNumber(*deadline);
@@ -61,4 +75,11 @@
     return arrived;
 }
 
+engine::Outcome outcomeBeforeEngine(const Request &request)
+{
+    const std::string *repeat = findHeader(request.headers, s_repeatHeader);
+    const bool firstAttempt = findHeader(request.headers, s_keyHeader) == nullptr || (repeat != nullptr && *repeat == "0");
+    return !request.headers.empty() && firstAttempt ? engine::Outcome::NotRun : engine::Outcome::Unknown;
+}
+
 } // namespace trefoilstile::http
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -47,7 +47,7 @@
     if (sessions.size() >= options.maximumConnections) {
         // Best effort: the socket is new, so the few bytes fit its send buffer.
         static constexpr std::string_view text =
-            "HTTP/1.1 503 Service Unavailable\r\nTrefoilstile-Outcome: not-run\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            "HTTP/1.1 503 Service Unavailable\r\nTrefoilstile-Outcome: unknown\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
         socket.non_blocking(true, error);
         socket.write_some(asio::buffer(text.data(), text.size()), error);
         socket.shutdown(tcp::socket::shutdown_send, error);
--- a/src/http/caller_session.cpp
+++ b/src/http/caller_session.cpp
@@ -75,7 +75,7 @@
     if (outcome.rejectStatus != 0) {
         m_closeAfter = true;
         const base::Duration retryAfter = std::chrono::seconds(outcome.rejectStatus == 503 ? 1 : 0);
-        const ResponseHead head = rejectionHead(outcome.rejectStatus, engine::Outcome::NotRun, retryAfter);
+        const ResponseHead head = rejectionHead(outcome.rejectStatus, outcomeBeforeEngine(request), retryAfter);
         co_await respond(request, head, s_noBody, m_core->options.writeTimeout);
         co_return false;
     }
@@ -134,12 +134,12 @@
     auto arrived = describe(request, m_peer);
     if (!arrived) {
         m_closeAfter = true;
-        const ResponseHead head = rejectionHead(400, engine::Outcome::NotRun, {});
+        const ResponseHead head = rejectionHead(400, outcomeBeforeEngine(request), {});
         co_await respond(request, head, s_noBody, m_core->options.writeTimeout);
         co_return false;
     }
     if (m_core->exchanges.size() >= m_core->options.maximumRequests) {
-        const ResponseHead head = rejectionHead(503, engine::Outcome::NotRun, std::chrono::seconds(1));
+        const ResponseHead head = rejectionHead(503, outcomeBeforeEngine(request), std::chrono::seconds(1));
         co_return co_await respond(request, head, s_noBody, m_core->options.writeTimeout) && !m_closeAfter;
     }
     const auto exchange = m_core->admit(std::move(request), std::move(share));
--- a/src/http/load_poller.cpp
+++ b/src/http/load_poller.cpp
@@ -65,7 +65,7 @@
         if (!incarnation || !state || !slots || !busy || !queued) {
             return std::nullopt;
         }
-        return engine::LoadReported {upstream, *incarnation, *state, *slots, *busy, *queued};
+        return engine::LoadReported{upstream, *incarnation, *state, *slots, *busy, *queued};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/src/http/operator_server.cpp
+++ b/src/http/operator_server.cpp
@@ -76,7 +76,7 @@
 {
     Request request;
     BodyShare share;
-    const RequestLimits limits {s_operatorBodyLimit, options.requestTimeout, options.requestTimeout};
+    const RequestLimits limits{s_operatorBodyLimit, options.requestTimeout, options.requestTimeout};
     const ReadOutcome outcome = co_await readRequest(connection, limits, request, share);
     if (outcome.closed) {
         co_return false;
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -153,6 +153,9 @@
     if (error && (error.category() == asio::error::get_system_category() || error == asio::error::eof)) {
         co_return ReadOutcome{true, 0};
     }
+    if (error == beast_http::error::body_limit) {
+        takeHead(parser, request); // the head was read to its end; its fields tell what the rejection may say
+    }
     if (error) {
         co_return ReadOutcome{false, statusOf(error)};
     }
--- a/src/http/service_test.cpp
+++ b/src/http/service_test.cpp
@@ -68,12 +68,12 @@
     IoThread io;
     std::unique_ptr<OperatorServer> server;
     io.call([&]() {
-        server = std::make_unique<OperatorServer>(io.context, OperatorServerOptions {});
+        server = std::make_unique<OperatorServer>(io.context, OperatorServerOptions{});
         server->handle("/healthz", [](std::string_view) {
-            return OperatorResponse {200, "text/plain", "ok"};
+            return OperatorResponse{200, "text/plain", "ok"};
         });
         server->handle("/v1/explain", [](std::string_view query) {
-            return OperatorResponse {503, "application/json", queryParameter(query, "service").value_or("")};
+            return OperatorResponse{503, "application/json", queryParameter(query, "service").value_or("")};
         });
     });
     Peer peer(server->address());
