--- a/include/trefoilstile/http/load_poller.hpp
+++ b/include/trefoilstile/http/load_poller.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "trefoilstile/base/time.hpp"
@@ -22,7 +23,10 @@
     std::string upstream; ///< name in the document
     std::string address; ///< `IP:port`
 
-    friend auto operator<=>(const LoadTarget &, const LoadTarget &) = default;
+    friend bool operator<(const LoadTarget &left, const LoadTarget &right)
+    {
+        return std::tie(left.upstream, left.address) < std::tie(right.upstream, right.address);
+    }
 };
 
 struct LoadPollerOptions {
