Choose shares, reserves, split and order by measurement

Reserves follow the present demand, debts of a share are bounded and only count while others wait, queues that stand reject earlier, slots are split evenly, half of the slots of a near upstream are never lent, and the latency baseline is the least mean of 64 attempts, since single samples shrank limits without load.

--- a/bench/policy/policy.hpp
+++ b/bench/policy/policy.hpp
@@ -19,7 +19,7 @@
 public:
     virtual ~SchedulerPolicy() = default;
     virtual admission::Admission enqueue(const admission::QueuedRequest &request, base::TimePoint now, std::size_t slots) = 0;
-    virtual std::optional<admission::StartedRequest> next(base::TimePoint now, std::size_t slots) = 0;
+    virtual std::optional<admission::StartedRequest> next(base::TimePoint now, std::size_t slots, const base::PerClass<bool> &startable) = 0;
     virtual std::vector<admission::QueuedRequest> expire(base::TimePoint now) = 0;
     virtual void requeue(const admission::QueuedRequest &request) = 0;
     virtual void finished(base::PriorityClass priorityClass, base::Duration held, base::Duration firstByte) = 0;
@@ -36,7 +36,7 @@
     std::string name;
     std::string describes; ///< what it tells apart
     SchedulerKind scheduler = SchedulerKind::Shares;
-    SelectionKind selection = SelectionKind::LeastLoaded;
+    SelectionKind selection = SelectionKind::LeastOutstanding;
     admission::SchedulerOptions admission;
     upstream::UpstreamSetOptions upstreams;
     bool baseline = false;
--- a/include/trefoilstile/admission/class_scheduler.hpp
+++ b/include/trefoilstile/admission/class_scheduler.hpp
@@ -32,12 +32,22 @@
     base::PerClass<bool> used {{true, true, true}}; ///< some route gives the class; nothing is reserved for others
     std::uint32_t queueLength = 200; ///< waiting requests of each class
     QueueOrder order = QueueOrder::Fifo;
-    /// A request is rejected early if its estimated wait is above this part of its time left.
-    double waitShare = 0.5;
-    /// Time within which a class gets the missing part of its share back from finishing work. What finishing work gives
-    /// back in this time is lent out, the rest is kept free. Less urgent classes can wait longer, so less is kept free
-    /// for them when work is short, and all of their share when it is long.
-    base::PerClass<base::Duration> reclaimTime {{std::chrono::milliseconds(5), std::chrono::milliseconds(50), std::chrono::milliseconds(500)}};
+    /// A request is rejected early if its estimated wait is above this part of its time left. More for bulk work, whose
+    /// callers wait for minutes anyway and which has few slots that each take seconds.
+    base::PerClass<double> waitShare {{0.5, 0.5, 0.8}};
+    /// The same while the class is overloaded and its queue has not been empty for `standingInterval`. A queue that stands
+    /// adds to the latency of every request and serves no more of them.
+    double standingWaitShare = 0.1;
+    base::Duration standingInterval = std::chrono::seconds(1);
+    /// Time within which a class gets the slots for its present demand back from finishing work. What finishing work
+    /// gives back in this time is lent out, the rest is kept free. Less urgent classes can wait longer, so less is kept
+    /// free for them when work is short, and all of it when work is long.
+    base::PerClass<base::Duration> reclaimTime {{std::chrono::milliseconds(25), std::chrono::milliseconds(100), std::chrono::milliseconds(500)}};
+    /// Time within which a class gets back its whole share, however small its demand was before.
+    base::Duration shareReclaimTime = std::chrono::seconds(1);
+    /// Slots kept for a class beyond its mean demand, in units of the square root of that demand (the spread of the
+    /// number in use when arrivals are independent).
+    double burstMargin = 1.0;
     /// One urgent request may start above the slots if all of them are taken and no urgent one runs. With one or two
     /// slots no reserve is possible without stopping the other classes.
     bool urgentBeyondSlots = true;
@@ -123,7 +133,7 @@
     }
 
     /// Slots kept free for a class when `candidate` asks for one beyond its share. Public for tests and metrics.
-    double reserve(base::PriorityClass priorityClass, base::PriorityClass candidate, std::size_t slots) const;
+    double reserve(base::PriorityClass priorityClass, base::PriorityClass candidate, base::TimePoint now, std::size_t slots) const;
 
 private:
     // Enough to step over requests with unusual upstream restrictions, and still a bounded cost for each decision.
@@ -140,8 +150,11 @@
     double guarantee(base::PriorityClass priorityClass, std::size_t slots) const;
     double heldWhenWaiting(base::PriorityClass priorityClass, std::size_t slots) const;
     bool entitled(base::PriorityClass priorityClass, std::size_t slots) const;
-    bool mayBorrow(base::PriorityClass priorityClass, std::size_t slots) const;
+    bool mayBorrow(base::PriorityClass priorityClass, base::TimePoint now, std::size_t slots) const;
+    double demand(base::PriorityClass priorityClass, base::TimePoint now) const;
     bool urgentFits(base::TimePoint now, std::size_t slots) const;
+    bool standing(base::PriorityClass priorityClass, base::TimePoint now, std::size_t slots) const;
+    bool othersWait(base::PriorityClass priorityClass) const;
     Turns turns(base::TimePoint now, std::size_t slots) const;
     void advance(base::TimePoint now, std::size_t slots);
     StartedRequest start(const Turn &turn, base::RequestId id, base::TimePoint now);
@@ -153,13 +166,15 @@
     // Slots held by class; the sum is above the slots given only if those have shrunk or by one urgent request.
     base::PerClass<std::size_t> m_running;
     // Slot-seconds that a class is owed (positive) or has had in advance (negative) from the fractional part of its
-    // share. Never positive for a class without waiting requests, so that idle classes save nothing up.
+    // share while others waited. A class without waiting requests saves up no more than two requests of mean length.
     base::PerClass<double> m_credit;
     // Weighted slot-seconds taken beyond the shares (start-time fair queueing); the least one borrows next.
     base::PerClass<double> m_borrowed;
     double m_borrowClock {};
     base::PerClass<ServiceTimes> m_times;
     base::PerClass<DemandMeter> m_demand;
+    base::PerClass<double> m_meanRunning; // moving average of m_running over about a second
+    base::PerClass<base::TimePoint> m_emptyAt; // last time at which the queue was seen empty
     std::optional<base::TimePoint> m_advancedAt;
 };
 
--- a/include/trefoilstile/retry/retry_policy.hpp
+++ b/include/trefoilstile/retry/retry_policy.hpp
@@ -27,8 +27,7 @@
     std::uint32_t maximumAttempts = 2; ///< first one included; the document's `RetryLimits::maximumAttempts`
     std::uint32_t maximumResumptions = 3; ///< of one response; enough for a rolling drain of three upstreams
     base::Duration retryAfterBase = std::chrono::seconds(1); ///< of `Retry-After` without overload
-    base::Duration retryAfterMost = std::chrono::seconds(60);
-    double retryAfterSpread = 0.5; ///< drawn from span * (1 +- spread)
+    base::Duration retryAfterMost = std::chrono::seconds(60); ///< bound of the mean
 };
 
 /// A request after an attempt, as the policy sees it.
@@ -63,13 +62,14 @@
         const AttemptHistory &history, engine::AttemptResult result, base::PriorityClass priorityClass, RetryBudget &budget, base::TimePoint now) const;
 
     /// Time after which a rejected caller may try again. `overload` is demand over capacity: at n times the capacity,
-    /// n times as long, so that the callers that come back are spread over the time that serving them takes.
+    /// n times the base on average. Drawn from a range that begins at half the base, so that some callers of a wave come
+    /// back soon and keep the upstreams busy, while the others are spread over the time that serving them takes.
     template<base::RandomSource R>
     base::Duration retryAfter(double overload, R &random) const
     {
         const double factor = std::clamp(overload, 1.0, base::toSeconds(m_options.retryAfterMost) / base::toSeconds(m_options.retryAfterBase));
-        const auto span = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(factor * base::toSeconds(m_options.retryAfterBase)));
-        return base::jittered(span, m_options.retryAfterSpread, random);
+        const double drawn = 0.5 + (2.0 * factor - 1.0) * base::uniformUnit(random);
+        return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(drawn * base::toSeconds(m_options.retryAfterBase)));
     }
 
     const RetryOptions &options() const
--- a/include/trefoilstile/upstream/concurrency_limit.hpp
+++ b/include/trefoilstile/upstream/concurrency_limit.hpp
@@ -69,6 +69,13 @@
     // A cold upstream gets a tenth of its work at once: enough to warm it, and a slow one costs few requests.
     static constexpr double s_rampFloor = 0.1;
 
+    struct Latencies {
+        double baseline {}; // seconds; 0 until a whole run has been observed
+        double recent {}; // seconds; moving average
+        double sum {}; // of the present run
+        std::uint32_t count {}; // less than the length of a run
+    };
+
     bool isHigh(base::PriorityClass priorityClass, base::Duration latency);
     void reduce(double factor, base::TimePoint now);
 
@@ -76,8 +83,7 @@
     double m_initial;
     std::uint32_t m_ceiling; // at least 1
     double m_value; // 1 <= m_value <= m_ceiling
-    base::PerClass<double> m_baseline; // seconds; 0 until observed
-    base::PerClass<double> m_recent; // seconds; 0 until observed
+    base::PerClass<Latencies> m_latencies;
     std::optional<base::TimePoint> m_reducedAt;
     std::optional<base::TimePoint> m_observedAt;
     std::optional<base::TimePoint> m_rampStart;
--- a/include/trefoilstile/upstream/selection_policy.hpp
+++ b/include/trefoilstile/upstream/selection_policy.hpp
@@ -104,4 +104,8 @@
     }
 };
 
+/// The policy to use with the default options of `UpstreamSet`. Best or equal in most runs of bench/policy; with split
+/// slots the own count says more than a report that lags.
+using DefaultSelection = LeastOutstanding;
+
 } // namespace trefoilstile::upstream
--- a/include/trefoilstile/upstream/slot_split.hpp
+++ b/include/trefoilstile/upstream/slot_split.hpp
@@ -5,14 +5,22 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace trefoilstile::upstream
 {
 
-/// Slots of the upstream that belong to `self`. The instances are ranked by rendezvous hashing for each upstream; each
-/// gets slots / instances, and the first ones one more of the rest. The parts add up to `slots`. 0 if `self` is not
-/// among the instances.
-std::uint32_t slotPart(std::string_view upstream, std::uint32_t slots, std::span<const std::string> instances, std::string_view self);
+/// Upstream whose slots are split.
+struct SplitUpstream {
+    std::string_view name;
+    std::uint32_t slots {};
+};
+
+/// Slots of each upstream that belong to `self`. Each instance gets slots / instances; the rest goes to the instances
+/// that have the fewest slots so far, those with equal numbers by rendezvous hashing. The parts of all instances add up
+/// to the slots, and their sums over all upstreams differ by at most one: with three slots each, a split by hashing
+/// alone left some instances half of what others had. Zeros if `self` is not among the instances.
+std::vector<std::uint32_t> slotParts(std::span<const SplitUpstream> upstreams, std::span<const std::string> instances, std::string_view self);
 
 /// Rank of `self` among the instances for that upstream, 0 first.
 std::uint32_t slotRank(std::string_view upstream, std::span<const std::string> instances, std::string_view self);
--- a/include/trefoilstile/upstream/upstream_set.hpp
+++ b/include/trefoilstile/upstream/upstream_set.hpp
@@ -54,9 +54,18 @@
 struct UpstreamSetOptions {
     LimitOptions limit;
     HealthOptions health;
-    /// Each instance uses its own part of an upstream's slots, and others' parts only while reports show them idle.
+    /// Each instance uses its own part of an upstream's slots, and others' parts as far as reports show them idle.
     /// Otherwise each instance's adaptive limit alone bounds its use.
     bool splitSlots = true;
+    /// Part of an upstream's slots in the own region that is left to the other instances even if reports show it idle.
+    /// Without it, the slots that their schedulers keep free for urgent work would be lent to downloads.
+    double idleKept = 0.5;
+    /// Least part of its own slots that an instance uses while an upstream is cold. Its weight is lower still, so that it
+    /// is used for what the others cannot take.
+    double coldSlots = 0.5;
+    /// Factor on the idle slots of upstreams in other regions. Attempts there are on the way for longer than they hold a
+    /// slot, so that a slot serves more than one of them at a time.
+    double remoteShare = 4.0;
     double connectFailurePenalty = 0.5; ///< factor on the weight after own connect failures while signals are distrusted
 };
 
@@ -124,7 +133,8 @@
     /// upstreams that take no new work. The number of slots for `ClassScheduler`.
     std::uint32_t concurrency(std::span<const DomainIndex> domains, base::TimePoint now) const;
 
-    /// True if `choose` would find an upstream for the request by its limit; probes are not considered.
+    /// True if `choose` would find an upstream for the request by its limit; probes are not considered. For the predicate
+    /// of `ClassScheduler::next`.
     bool canChoose(const ChoiceRequest &request, base::TimePoint now) const;
 
     std::optional<DomainIndex> domain(std::string_view failureDomain) const;
@@ -185,6 +195,7 @@
         UpstreamSetConfig::Entry entry;
         DomainIndex domain {};
         std::uint32_t part {}; // own part of the slots; 0 if the upstream is in another region
+        bool near = true; // in this instance's region, or that is not known yet
         std::uint32_t sharers = 1; // instances that idle slots are divided between
         bool present = true; // false: removed from the document, kept until inFlight is 0
         bool unused = false; // the index is free for another upstream; implies !present and inFlight == 0
@@ -206,6 +217,7 @@
     std::size_t addMember(const UpstreamSetConfig::Entry &entry);
     void updateDomains();
     void updateParts();
+    void updateRegionParts(std::string_view region);
     bool isDrained(const Member &member) const;
 
     UpstreamSetConfig m_config;
--- a/src/admission/class_scheduler.cpp
+++ b/src/admission/class_scheduler.cpp
@@ -13,12 +13,18 @@
 namespace
 {
 
-// Slot-seconds. Bounds how long a class that had nothing, or more than its share, is compensated.
+// Slot-seconds. Bounds how long a class that had less than its share is compensated.
 constexpr double s_creditLimit = 60.0;
 
+// Requests of mean length. Bounds how long a class that had more than its share has to do without it.
+constexpr double s_debtLimit = 2.0;
+
 // Tolerance for shares that are whole numbers but for rounding, such as 0.3 * 10.
 constexpr double s_rounding = 1e-9;
 
+// Seconds. Keeps the conversion of an estimate to a span within its range.
+constexpr double s_longestWait = 1e6;
+
 // The estimate of demand has a noise of about 10%; urgent work that fits must not lose its precedence by it.
 constexpr double s_demandSlack = 1.25;
 
@@ -63,7 +69,11 @@
     const double wait = base::toSeconds(estimatedWait(priorityClass, request.deadline, now, slots));
     const double firstByte = m_times[priorityClass].firstByte(m_options.priorServiceTime);
     const double left = base::toSeconds(request.deadline - now);
-    if (wait > 0.0 && (wait > m_options.waitShare * left || wait + firstByte > left)) {
+    // A standing queue still holds enough to start the next request without a gap.
+    const double standingWait = std::max(m_options.standingWaitShare * left, 2.0 * m_times[priorityClass].held(m_options.priorServiceTime));
+    const double usualWait = m_options.waitShare[priorityClass] * left;
+    const double longest = standing(priorityClass, now, slots) ? std::min(standingWait, usualWait) : usualWait;
+    if (wait > 0.0 && (wait > longest || wait + firstByte > left)) {
         return Admission::DeadlineTooShort;
     }
     queue.pushBack(request);
@@ -117,19 +127,46 @@
 base::Duration ClassScheduler::estimatedWait(base::PriorityClass priorityClass, base::TimePoint deadline, base::TimePoint now, std::size_t slots) const
 {
     const std::size_t ahead = m_queues[priorityClass].ahead(m_options.order, deadline, now);
-    const bool free = running() < slots && (entitled(priorityClass, slots) || mayBorrow(priorityClass, slots));
+    const bool free = running() < slots && (entitled(priorityClass, slots) || mayBorrow(priorityClass, now, slots));
     if (free && m_queues[priorityClass].empty()) {
         return base::Duration(0);
     }
-    const double held = heldWhenWaiting(priorityClass, slots) + (free ? 1.0 : 0.0);
-    const double perStart = m_times[priorityClass].held(m_options.priorServiceTime) / held;
-    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(static_cast<double>(ahead + 1) * perStart));
+    double wait = 0.0;
+    if (ahead == 0) {
+        // The next slot of any class goes to an entitled one; before that, the share's debt has to be worked off.
+        double releases = 0.0;
+        for (const base::PriorityClass other : base::s_priorityClasses) {
+            releases += static_cast<double>(m_running[other]) / m_times[other].held(m_options.priorServiceTime);
+        }
+        const double debt = std::max(0.0, -m_credit[priorityClass]) / std::max(guarantee(priorityClass, slots), s_rounding);
+        const double own = m_times[priorityClass].held(m_options.priorServiceTime) / heldWhenWaiting(priorityClass, slots);
+        wait = std::min((entitled(priorityClass, slots) ? 0.0 : debt) + 1.0 / std::max(releases, s_rounding), own);
+    } else {
+        const double held = heldWhenWaiting(priorityClass, slots) + (free ? 1.0 : 0.0);
+        wait = static_cast<double>(ahead + 1) * m_times[priorityClass].held(m_options.priorServiceTime) / held;
+    }
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(std::min(wait, s_longestWait)));
 }
 
 double ClassScheduler::overload(base::PriorityClass priorityClass, base::TimePoint now, std::size_t slots) const
 {
-    const double demand = m_demand[priorityClass].rate(now) * m_times[priorityClass].held(m_options.priorServiceTime);
-    return demand / heldWhenWaiting(priorityClass, slots);
+    constexpr double least = 0.1; // keeps the factor of a class without a share finite
+    return demand(priorityClass, now) / std::max({guarantee(priorityClass, slots), m_meanRunning[priorityClass], least});
+}
+
+// Slots that the arrivals of the class keep busy, rejected ones included.
+double ClassScheduler::demand(base::PriorityClass priorityClass, base::TimePoint now) const
+{
+    return m_demand[priorityClass].rate(now) * m_times[priorityClass].held(m_options.priorServiceTime);
+}
+
+bool ClassScheduler::standing(base::PriorityClass priorityClass, base::TimePoint now, std::size_t slots) const
+{
+    if (priorityClass == base::PriorityClass::Urgent && urgentFits(now, slots)) {
+        return false;
+    }
+    return !m_queues[priorityClass].empty() && now - m_emptyAt[priorityClass] > m_options.standingInterval
+        && overload(priorityClass, now, slots) > s_demandSlack;
 }
 
 // A class that waits holds as many slots as it can get, so those it holds now tell its rate; never below its share.
@@ -170,29 +207,39 @@
     return held + 1.0 <= share + s_rounding || (held < share - s_rounding && m_credit[priorityClass] >= 0.0);
 }
 
-double ClassScheduler::reserve(base::PriorityClass priorityClass, base::PriorityClass candidate, std::size_t slots) const
+// Slots that the class misses, less those that come back in time from work beyond the shares. Two bounds: the present
+// demand with a margin for bursts soon, the whole share within `shareReclaimTime`. An urgent class that fits beside the
+// others' shares is kept free slots even beyond its own share, since long work that has borrowed them blocks it.
+double ClassScheduler::reserve(base::PriorityClass priorityClass, base::PriorityClass candidate, base::TimePoint now, std::size_t slots) const
 {
-    const double missing = guarantee(priorityClass, slots) - static_cast<double>(m_running[priorityClass]);
-    if (!m_options.used[priorityClass] || missing <= s_rounding) {
+    if (!m_options.used[priorityClass] || m_options.classes[priorityClass].minimumShare <= 0.0) {
         return 0.0;
     }
-    // Slots per second that come back from work beyond the shares, the candidate's included; they go to entitled
-    // classes first.
-    double returning = 0.0;
+    const bool urgent = priorityClass == base::PriorityClass::Urgent;
+    const double held = static_cast<double>(m_running[priorityClass]);
+    const double share = guarantee(priorityClass, slots);
+    const double present = demand(priorityClass, now);
+    const double most = urgent && urgentFits(now, slots) ? static_cast<double>(slots) : share;
+    const double wanted = std::min(present + m_options.burstMargin * std::sqrt(present), most);
+    double returning = 0.0; // slots per second from work beyond the shares, the candidate's included
     for (const base::PriorityClass other : base::s_priorityClasses) {
-        const double held = static_cast<double>(m_running[other]) + (other == candidate ? 1.0 : 0.0);
-        const double beyond = std::max(0.0, held - guarantee(other, slots));
+        const double otherHeld = static_cast<double>(m_running[other]) + (other == candidate ? 1.0 : 0.0);
+        const double beyond = other == priorityClass ? 0.0 : std::max(0.0, otherHeld - guarantee(other, slots));
         returning += beyond / m_times[other].held(m_options.priorServiceTime);
     }
-    const double kept = std::max(0.0, missing - returning * base::toSeconds(m_options.reclaimTime[priorityClass]));
-    if (priorityClass == base::PriorityClass::Urgent) {
-        // At least one whole slot: a single hold or payment must find one free, however small the share is.
-        return std::max(1.0, std::ceil(kept - s_rounding));
+    const double soon = wanted - held - returning * base::toSeconds(m_options.reclaimTime[priorityClass]);
+    const double later = share - held - returning * base::toSeconds(m_options.shareReclaimTime);
+    const double kept = std::max({soon, later, 0.0});
+    if (urgent) {
+        // At least one whole slot is kept from long work: a single hold or payment must find one free, however small the
+        // share is. Short work gives one back in time.
+        const bool longWork = m_times[candidate].held(m_options.priorServiceTime) > base::toSeconds(m_options.reclaimTime[base::PriorityClass::Urgent]);
+        return held < most - s_rounding ? std::max(longWork ? 1.0 : 0.0, std::ceil(kept - s_rounding)) : 0.0;
     }
     return std::round(kept);
 }
 
-bool ClassScheduler::mayBorrow(base::PriorityClass priorityClass, std::size_t slots) const
+bool ClassScheduler::mayBorrow(base::PriorityClass priorityClass, base::TimePoint now, std::size_t slots) const
 {
     const std::size_t used = running();
     if (used >= slots) {
@@ -200,7 +247,7 @@
     }
     double reserved = 0.0;
     for (const base::PriorityClass other : base::s_priorityClasses) {
-        reserved += other == priorityClass ? 0.0 : reserve(other, priorityClass, slots);
+        reserved += other == priorityClass ? 0.0 : reserve(other, priorityClass, now, slots);
     }
     // One slot is never reserved; otherwise a class without a whole slot in its share could not use an idle service.
     reserved = std::min(reserved, static_cast<double>(slots) - 1.0);
@@ -212,9 +259,8 @@
     if (!m_options.urgentFirstWithinCapacity) {
         return false;
     }
-    const double demand = m_demand[base::PriorityClass::Urgent].rate(now) * m_times[base::PriorityClass::Urgent].held(m_options.priorServiceTime);
     const double others = guarantee(base::PriorityClass::Interactive, slots) + guarantee(base::PriorityClass::Bulk, slots);
-    return demand <= s_demandSlack * (static_cast<double>(slots) - others);
+    return demand(base::PriorityClass::Urgent, now) <= s_demandSlack * (static_cast<double>(slots) - others);
 }
 
 // Classes in the order in which they may take a slot now: entitled ones, most urgent first, then those that borrow.
@@ -242,25 +288,43 @@
         return leftFirst != rightFirst ? leftFirst : m_borrowed[left] < m_borrowed[right];
     });
     for (const base::PriorityClass priorityClass : borrowers) {
-        if (!m_queues[priorityClass].empty() && !entitled(priorityClass, slots) && mayBorrow(priorityClass, slots)) {
+        if (!m_queues[priorityClass].empty() && !entitled(priorityClass, slots) && mayBorrow(priorityClass, now, slots)) {
             result[count++] = Turn {priorityClass, true, false};
         }
     }
     return result;
 }
 
+bool ClassScheduler::othersWait(base::PriorityClass priorityClass) const
+{
+    return std::any_of(base::s_priorityClasses.begin(), base::s_priorityClasses.end(), [&](base::PriorityClass other) {
+        return other != priorityClass && !m_queues[other].empty();
+    });
+}
+
 void ClassScheduler::advance(base::TimePoint now, std::size_t slots)
 {
-    for (ClassQueue &queue : m_queues.values) {
-        queue.expire(now, m_expired);
+    for (const base::PriorityClass priorityClass : base::s_priorityClasses) {
+        m_queues[priorityClass].expire(now, m_expired);
+        if (m_queues[priorityClass].empty()) {
+            m_emptyAt[priorityClass] = now;
+        }
     }
     const double elapsed = m_advancedAt ? std::max(0.0, base::toSeconds(now - *m_advancedAt)) : 0.0;
     m_advancedAt = now;
     for (const base::PriorityClass priorityClass : base::s_priorityClasses) {
+        double &mean = m_meanRunning[priorityClass];
+        mean += (static_cast<double>(m_running[priorityClass]) - mean) * std::min(1.0, elapsed); // over about a second
         double &credit = m_credit[priorityClass];
-        const double rate = guarantee(priorityClass, slots) - static_cast<double>(m_running[priorityClass]);
-        const double most = m_queues[priorityClass].empty() ? 0.0 : s_creditLimit;
-        credit = std::clamp(credit + rate * elapsed, -s_creditLimit, most);
+        const double share = guarantee(priorityClass, slots);
+        // Slots that no other class waits for are no debt, and a few requests are the most that the share can owe:
+        // otherwise a class that used idle slots for a minute would be without its share for minutes.
+        const double charged = std::min(static_cast<double>(m_running[priorityClass]), othersWait(priorityClass) ? std::ceil(share - s_rounding) : share);
+        const double least = -s_debtLimit * m_times[priorityClass].held(m_options.priorServiceTime);
+        // A class whose requests do not wait long enough to form a queue is owed its share as well, up to one request.
+        const bool waiting = !m_queues[priorityClass].empty();
+        const double most = waiting ? s_creditLimit : (demand(priorityClass, now) > share ? -least / s_debtLimit : 0.0);
+        credit = std::clamp(credit + (share - charged) * elapsed, least, std::max(most, std::min(credit, -least)));
     }
 }
 
--- a/src/upstream/concurrency_limit.cpp
+++ b/src/upstream/concurrency_limit.cpp
@@ -11,11 +11,12 @@
 namespace
 {
 
-// The baseline follows lower latencies at once in good part and higher ones slowly, so that a loaded spell does not
-// become the norm, and a lasting change does within a few hundred responses.
-constexpr double s_baselineDown = 0.25;
-constexpr double s_baselineUp = 1.0 / 256.0;
-constexpr double s_recentGain = 0.25;
+// The baseline is the least mean latency of a run of attempts. Single attempts of exponential length vary too much: with
+// a baseline that followed them, the limit shrank without load. It rises slowly, so that a loaded spell does not become
+// the norm, and a lasting change does within some thousand responses.
+constexpr std::uint32_t s_runLength = 64;
+constexpr double s_baselineRise = 1.02; // for each run
+constexpr double s_recentGain = 1.0 / 32.0;
 
 // Part of the limit from which it counts as in use.
 constexpr double s_inUse = 0.8;
@@ -62,17 +63,23 @@
 
 bool ConcurrencyLimit::isHigh(base::PriorityClass priorityClass, base::Duration latency)
 {
+    Latencies &latencies = m_latencies[priorityClass];
     const double sample = base::toSeconds(latency);
-    double &baseline = m_baseline[priorityClass];
-    double &recent = m_recent[priorityClass];
-    if (baseline <= 0.0) {
-        baseline = sample;
-        recent = sample;
-        return false;
+    latencies.sum += sample;
+    ++latencies.count;
+    const bool first = latencies.baseline <= 0.0;
+    if (first) {
+        latencies.recent = latencies.sum / latencies.count;
+    } else {
+        latencies.recent += s_recentGain * (sample - latencies.recent);
+    }
+    if (latencies.count == s_runLength) {
+        const double mean = latencies.sum / s_runLength;
+        latencies.baseline = first ? mean : std::min(mean, latencies.baseline * s_baselineRise);
+        latencies.sum = 0.0;
+        latencies.count = 0;
     }
-    baseline += (sample < baseline ? s_baselineDown : s_baselineUp) * (sample - baseline);
-    recent += s_recentGain * (sample - recent);
-    return recent > m_options.latencyTolerance * baseline;
+    return !first && latencies.recent > m_options.latencyTolerance * latencies.baseline;
 }
 
 void ConcurrencyLimit::reduce(double factor, base::TimePoint now)
@@ -106,10 +113,11 @@
 
 std::optional<base::Duration> ConcurrencyLimit::baseline(base::PriorityClass priorityClass) const
 {
-    if (m_baseline[priorityClass] <= 0.0) {
+    const double baseline = m_latencies[priorityClass].baseline;
+    if (baseline <= 0.0) {
         return std::nullopt;
     }
-    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(m_baseline[priorityClass]));
+    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(baseline));
 }
 
 std::uint32_t instanceCeiling(std::uint32_t connections, std::uint32_t maximumEntryInstances)
--- a/src/upstream/slot_split.cpp
+++ b/src/upstream/slot_split.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <numeric>
 #include <utility>
 
 #include "trefoilstile/base/ids.hpp"
@@ -29,13 +31,35 @@
     }));
 }
 
-std::uint32_t slotPart(std::string_view upstream, std::uint32_t slots, std::span<const std::string> instances, std::string_view self)
+std::vector<std::uint32_t> slotParts(std::span<const SplitUpstream> upstreams, std::span<const std::string> instances, std::string_view self)
 {
+    std::vector<std::uint32_t> parts(upstreams.size(), 0);
     if (std::find(instances.begin(), instances.end(), self) == instances.end()) {
-        return 0;
+        return parts;
     }
+    // The order must be the same at every instance, whatever the order of their lists.
+    std::vector<std::size_t> order(upstreams.size());
+    std::iota(order.begin(), order.end(), std::size_t {});
+    std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return upstreams[left].name < upstreams[right].name;
+    });
     const auto count = static_cast<std::uint32_t>(instances.size());
-    return slots / count + (slotRank(upstream, instances, self) < slots % count ? 1 : 0);
+    std::vector<std::uint32_t> extra(instances.size(), 0); // slots from the rests so far
+    std::vector<std::size_t> ranked(instances.size());
+    std::iota(ranked.begin(), ranked.end(), std::size_t {});
+    for (const std::size_t index : order) {
+        const SplitUpstream &upstream = upstreams[index];
+        std::sort(ranked.begin(), ranked.end(), [&](std::size_t left, std::size_t right) {
+            return extra[left] != extra[right] ? extra[left] < extra[right]
+                                               : rendezvousKey(upstream.name, instances[left]) < rendezvousKey(upstream.name, instances[right]);
+        });
+        parts[index] = upstream.slots / count;
+        for (std::uint32_t position = 0; position < upstream.slots % count; ++position) {
+            ++extra[ranked[position]];
+            parts[index] += instances[ranked[position]] == self ? 1 : 0;
+        }
+    }
+    return parts;
 }
 
 std::uint32_t roundByHash(double amount, std::string_view upstream, std::string_view self, std::uint64_t period)
--- a/src/upstream/upstream_set.cpp
+++ b/src/upstream/upstream_set.cpp
@@ -139,7 +139,7 @@
     if (!m_options.splitSlots) {
         return limit;
     }
-    const double ramp = member.limit.ramp(now);
+    const double ramp = std::max(member.limit.ramp(now), m_options.coldSlots);
     const std::uint32_t own = ramp < 1.0 ? roundByHash(ramp * member.part, member.entry.name, m_config.instance, roundingPeriod(now)) : member.part;
     return std::min(limit, own + idleShare(member, now));
 }
@@ -149,9 +149,11 @@
 {
     const double slots = member.entry.slots;
     const double weight = member.health.reportWeight(now);
-    const double idle = std::max(0.0, 1.0 - member.health.reportedLoad(member.inFlight)) * slots;
+    const double kept = member.near ? m_options.idleKept : 0.0;
+    const double idle = std::max(0.0, 1.0 - kept - member.health.reportedLoad(member.inFlight)) * slots;
     const double unknown = member.part == 0 ? s_unknownIdle * slots : 0.0;
-    const double share = (weight * idle + (1.0 - weight) * unknown) * member.limit.ramp(now) / static_cast<double>(member.sharers);
+    const double factor = member.limit.ramp(now) * (member.part == 0 ? m_options.remoteShare : 1.0);
+    const double share = (weight * idle + (1.0 - weight) * unknown) * factor / static_cast<double>(member.sharers);
     return roundByHash(share, member.entry.name, m_config.instance, roundingPeriod(now));
 }
 
--- a/src/upstream/upstream_set_update.cpp
+++ b/src/upstream/upstream_set_update.cpp
@@ -129,34 +129,15 @@
     const auto self = std::find_if(m_instances.begin(), m_instances.end(), [&](const SplitMember &instance) {
         return instance.name == m_config.instance;
     });
-    Member *nearest = nullptr;
-    std::uint32_t nearestRank = 0;
-    std::uint32_t total = 0;
-    for (Member &member : m_members) {
-        std::vector<std::string> sharing;
-        for (const SplitMember &instance : m_instances) {
-            if (instance.region == member.entry.region) {
-                sharing.push_back(instance.name);
-            }
-        }
+    if (self == m_instances.end()) {
         // Before the member list is known, the instance assumes the most sharers that the document allows.
-        const bool inRegion = self != m_instances.end() && self->region == member.entry.region;
-        const bool alone = self == m_instances.end();
-        member.sharers = std::max<std::uint32_t>(1, alone ? m_config.maximumEntryInstances : static_cast<std::uint32_t>(m_instances.size()));
-        member.part = alone ? std::max(1U, member.entry.slots / member.sharers) : slotPart(member.entry.name, member.entry.slots, sharing, m_config.instance);
-        if (inRegion && member.present) {
-            member.sharers = static_cast<std::uint32_t>(sharing.size());
-            total += member.part;
-            const std::uint32_t rank = slotRank(member.entry.name, sharing, m_config.instance);
-            if (nearest == nullptr || rank < nearestRank) {
-                nearest = &member;
-                nearestRank = rank;
-            }
+        for (Member &member : m_members) {
+            member.sharers = std::max(1U, m_config.maximumEntryInstances);
+            member.part = std::max(1U, member.entry.slots / member.sharers);
+            member.near = true;
         }
-    }
-    // With fewer slots than instances, each still gets one, so that it can serve its callers at all.
-    if (nearest != nullptr && total == 0) {
-        nearest->part = 1;
+    } else {
+        updateRegionParts(self->region);
     }
     for (Member &member : m_members) {
         const double initial = m_options.splitSlots ? member.part : static_cast<double>(member.entry.slots) / member.sharers;
@@ -164,6 +145,43 @@
     }
 }
 
+// Splits the slots of the upstreams in this instance's region between the instances there.
+void UpstreamSet::updateRegionParts(std::string_view region)
+{
+    std::vector<std::string> sharing;
+    for (const SplitMember &instance : m_instances) {
+        if (instance.region == region) {
+            sharing.push_back(instance.name);
+        }
+    }
+    std::vector<Member *> near;
+    std::vector<SplitUpstream> upstreams;
+    for (Member &member : m_members) {
+        // Idle slots are divided between the instances of this region, also those in other regions: the usual reason
+        // to use them is a loss in this region, which its instances share.
+        member.sharers = static_cast<std::uint32_t>(sharing.size());
+        member.part = 0;
+        member.near = member.entry.region == region;
+        if (member.present && member.near) {
+            near.push_back(&member);
+            upstreams.push_back({member.entry.name, member.entry.slots});
+        }
+    }
+    const std::vector<std::uint32_t> parts = slotParts(upstreams, sharing, m_config.instance);
+    for (std::size_t index = 0; index < near.size(); ++index) {
+        near[index]->part = parts[index];
+    }
+    // With fewer slots than instances, each still gets one, so that it can serve its callers at all.
+    if (!near.empty() && std::all_of(parts.begin(), parts.end(), [](std::uint32_t part) {
+            return part == 0;
+        })) {
+        const auto nearest = std::min_element(near.begin(), near.end(), [&](const Member *left, const Member *right) {
+            return slotRank(left->entry.name, sharing, m_config.instance) < slotRank(right->entry.name, sharing, m_config.instance);
+        });
+        (*nearest)->part = 1;
+    }
+}
+
 bool UpstreamSet::isDrained(const Member &member) const
 {
     return std::any_of(m_drains.begin(), m_drains.end(), [&](const engine::Drain &drain) {
