--- a/bench/policy/policy.cpp
+++ b/bench/policy/policy.cpp
@@ -196,7 +196,7 @@
 std::vector<Policy> policies()
 {
     using admission::QueueOrder;
-    std::vector<Policy> result {
+    std::vector<Policy> result{
         basic("default", "shares, split slots, least outstanding"),
         borrowing("borrow-all-idle", "all slots reported idle in the region are lent", 0.0, 4.0),
         borrowing("borrow-none", "no slots of other instances in the region are used", 1.0, 4.0),
--- a/include/trefoilstile/admission/class_scheduler.hpp
+++ b/include/trefoilstile/admission/class_scheduler.hpp
@@ -34,7 +34,7 @@
     QueueOrder order = QueueOrder::Fifo;
     /// A request is rejected early if its estimated wait is above this part of its time left. More for bulk work, whose
     /// callers wait for minutes anyway and which has few slots that each take seconds.
-    base::PerClass<double> waitShare {{0.5, 0.5, 0.8}};
+    base::PerClass<double> waitShare{{0.5, 0.5, 0.8}};
     /// The same while the class is overloaded and its queue has not been empty for `standingInterval`. A queue that stands
     /// adds to the latency of every request and serves no more of them.
     double standingWaitShare = 0.1;
@@ -42,7 +42,7 @@
     /// Time within which a class gets the slots for its present demand back from finishing work. What finishing work
     /// gives back in this time is lent out, the rest is kept free. Less urgent classes can wait longer, so less is kept
     /// free for them when work is short, and all of it when work is long.
-    base::PerClass<base::Duration> reclaimTime {{std::chrono::milliseconds(25), std::chrono::milliseconds(100), std::chrono::milliseconds(500)}};
+    base::PerClass<base::Duration> reclaimTime{{std::chrono::milliseconds(25), std::chrono::milliseconds(100), std::chrono::milliseconds(500)}};
     /// Time within which a class gets back its whole share, however small its demand was before.
     base::Duration shareReclaimTime = std::chrono::seconds(1);
     /// Slots kept for a class beyond its mean demand, in units of the square root of that demand (the spread of the
--- a/include/trefoilstile/upstream/concurrency_limit.hpp
+++ b/include/trefoilstile/upstream/concurrency_limit.hpp
@@ -70,10 +70,10 @@
     static constexpr double s_rampFloor = 0.1;
 
     struct Latencies {
-        double baseline {}; // seconds; 0 until a whole run has been observed
-        double recent {}; // seconds; moving average
-        double sum {}; // of the present run
-        std::uint32_t count {}; // less than the length of a run
+        double baseline{}; // seconds; 0 until a whole run has been observed
+        double recent{}; // seconds; moving average
+        double sum{}; // of the present run
+        std::uint32_t count{}; // less than the length of a run
     };
 
     bool isHigh(base::PriorityClass priorityClass, base::Duration latency);
--- a/include/trefoilstile/upstream/slot_split.hpp
+++ b/include/trefoilstile/upstream/slot_split.hpp
@@ -13,7 +13,7 @@
 /// Upstream whose slots are split.
 struct SplitUpstream {
     std::string_view name;
-    std::uint32_t slots {};
+    std::uint32_t slots{};
 };
 
 /// Slots of each upstream that belong to `self`. Each instance gets slots / instances; the rest goes to the instances
--- a/include/trefoilstile/upstream/upstream_set.hpp
+++ b/include/trefoilstile/upstream/upstream_set.hpp
@@ -193,8 +193,8 @@
 private:
     struct Member {
         UpstreamSetConfig::Entry entry;
-        DomainIndex domain {};
-        std::uint32_t part {}; // own part of the slots; 0 if the upstream is in another region
+        DomainIndex domain{};
+        std::uint32_t part{}; // own part of the slots; 0 if the upstream is in another region
         bool near = true; // in this instance's region, or that is not known yet
         std::uint32_t sharers = 1; // instances that idle slots are divided between
         bool present = true; // false: removed from the document, kept until inFlight is 0
--- a/src/admission/class_scheduler.cpp
+++ b/src/admission/class_scheduler.cpp
@@ -289,7 +289,7 @@
     });
     for (const base::PriorityClass priorityClass : borrowers) {
         if (!m_queues[priorityClass].empty() && !entitled(priorityClass, slots) && mayBorrow(priorityClass, now, slots)) {
-            result[count++] = Turn {priorityClass, true, false};
+            result[count++] = Turn{priorityClass, true, false};
         }
     }
     return result;
--- a/src/upstream/slot_split.cpp
+++ b/src/upstream/slot_split.cpp
@@ -39,14 +39,14 @@
     }
     // The order must be the same at every instance, whatever the order of their lists.
     std::vector<std::size_t> order(upstreams.size());
-    std::iota(order.begin(), order.end(), std::size_t {});
+    std::iota(order.begin(), order.end(), std::size_t{});
     std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
         return upstreams[left].name < upstreams[right].name;
     });
     const auto count = static_cast<std::uint32_t>(instances.size());
     std::vector<std::uint32_t> extra(instances.size(), 0); // slots from the rests so far
     std::vector<std::size_t> ranked(instances.size());
-    std::iota(ranked.begin(), ranked.end(), std::size_t {});
+    std::iota(ranked.begin(), ranked.end(), std::size_t{});
     for (const std::size_t index : order) {
         const SplitUpstream &upstream = upstreams[index];
         std::sort(ranked.begin(), ranked.end(), [&](std::size_t left, std::size_t right) {
--- a/tools/loadgen/client.cpp
+++ b/tools/loadgen/client.cpp
@@ -36,7 +36,7 @@
 constexpr std::size_t s_keptBody = 64U * 1024U;
 
 // Lookups that fail are tried again after this; at most this often, since the tool must not add load of its own.
-constexpr std::chrono::milliseconds s_lookupPause {200};
+constexpr std::chrono::milliseconds s_lookupPause{200};
 
 tcp::endpoint endpointOf(const std::string &text)
 {
--- a/tools/loadgen/client.hpp
+++ b/tools/loadgen/client.hpp
@@ -30,9 +30,9 @@
     std::string host;
     std::string client; ///< address given in lookups; empty: none
     trefoilstile::base::PerClass<ClassLoad> classes;
-    std::chrono::milliseconds duration {10'000};
-    std::chrono::milliseconds timeout {10'000}; ///< of one request
-    std::chrono::milliseconds deadline {0}; ///< sent with requests; 0: none
+    std::chrono::milliseconds duration{10'000};
+    std::chrono::milliseconds timeout{10'000}; ///< of one request
+    std::chrono::milliseconds deadline{0}; ///< sent with requests; 0: none
     std::uint32_t maximumInFlight = 2000; ///< planned requests beyond it count as failed
     std::uint64_t maximumRequests = 1'000'000; ///< the load ends when so many have been planned; bounds memory
     std::uint64_t seed = 1;
@@ -58,10 +58,10 @@
     struct Reply {
         bool connected = false;
         bool whole = false; ///< the response ended by its own framing
-        unsigned status {};
+        unsigned status{};
         std::string outcome;
         std::string body;
-        std::uint64_t bytes {};
+        std::uint64_t bytes{};
     };
 
     boost::asio::awaitable<void> generate(trefoilstile::base::PriorityClass priorityClass);
--- a/tools/loadgen/report.cpp
+++ b/tools/loadgen/report.cpp
@@ -17,10 +17,10 @@
 constexpr const char *s_resultNames[] = {"served", "not_run", "unknown", "failed"};
 
 struct Quantiles {
-    double p50 {};
-    double p90 {};
-    double p99 {};
-    double max {};
+    double p50{};
+    double p90{};
+    double p99{};
+    double max{};
 };
 
 /// Nearest-rank quantiles in ms; all zero if nothing was served.
@@ -66,7 +66,7 @@
 
 std::string Report::asJson() const
 {
-    nlohmann::json json {{"lookups", lookups}, {"lookups_failed", lookupsFailed}, {"body_bytes", bytes}};
+    nlohmann::json json{{"lookups", lookups}, {"lookups_failed", lookupsFailed}, {"body_bytes", bytes}};
     for (const auto priorityClass : s_priorityClasses) {
         const ClassReport &report = classes[priorityClass];
         const Quantiles quantiles = quantilesOf(report.latencies);
--- a/tools/loadgen/report.hpp
+++ b/tools/loadgen/report.hpp
@@ -20,7 +20,7 @@
 
 struct ClassReport {
     std::vector<double> latencies; ///< ms of served requests, from the planned start, so that a stalled generator does not hide waiting
-    std::uint64_t counts[4] {}; ///< by `Result`
+    std::uint64_t counts[4]{}; ///< by `Result`
 };
 
 struct Report {
--- a/tools/standin_upstream/connection.cpp
+++ b/tools/standin_upstream/connection.cpp
@@ -34,7 +34,7 @@
 
 std::optional<std::uint64_t> number(std::string_view text)
 {
-    std::uint64_t value {};
+    std::uint64_t value{};
     const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
     return result.ec == std::errc() && result.ptr == text.data() + text.size() ? std::optional(value) : std::nullopt;
 }
--- a/tools/standin_upstream/connection.hpp
+++ b/tools/standin_upstream/connection.hpp
@@ -36,8 +36,8 @@
         std::string text;
         bool isControl = false; ///< not subject to misbehaviour
         bool isObject = false;
-        std::uint64_t offset {};
-        std::uint64_t size {};
+        std::uint64_t offset{};
+        std::uint64_t size{};
     };
 
     asio::awaitable<bool> serveOne();
--- a/tools/standin_upstream/service.hpp
+++ b/tools/standin_upstream/service.hpp
@@ -21,10 +21,10 @@
 struct Settings {
     std::string listen = "127.0.0.1:0";
     std::uint32_t slots = 8;
-    Milliseconds service {5}; ///< time in a slot
-    Milliseconds cold {0}; ///< warming time after start; service takes up to 4 times as long in it
+    Milliseconds service{5}; ///< time in a slot
+    Milliseconds cold{0}; ///< warming time after start; service takes up to 4 times as long in it
     std::optional<std::uint32_t> lieLoad; ///< constant number of busy slots reported
-    Milliseconds loadLag {0}; ///< age of the load reported
+    Milliseconds loadLag{0}; ///< age of the load reported
     std::string etag = "\"v1\"";
 };
 
@@ -34,7 +34,7 @@
     bool closeAfterZeroBytes = false;
     std::uint32_t rejectNext = 0; ///< requests still to be rejected
     std::uint64_t breakAfterBytes = 0; ///< of a response body; 0: off
-    Milliseconds answerDelay {0};
+    Milliseconds answerDelay{0};
     bool leaving = false;
     std::uint64_t slowBodyBytesPerSecond = 0; ///< 0: off
     bool shortBody = false; ///< one byte less than Content-Length, then close
