Store IPv6 ranges without the IPv4 blocks and rank only the entries asked for

Cause: IPv4 blocks were kept twice, and a lookup sorted all candidates of a region. Ruled out: a table for each family built from separate lists, since one document lists both.

--- a/include/trefoilstile/routing/block_table.hpp
+++ b/include/trefoilstile/routing/block_table.hpp
@@ -31,7 +31,7 @@
 
 private:
     // Range i reaches from m_v4Starts[i] to m_v4Starts[i + 1] - 1 and belongs to m_v4Sites[i]; starts ascend strictly and
-    // the first is 0. The same holds for IPv6, which covers the IPv4-mapped range too.
+    // the first is 0. The same holds for IPv6, whose ranges leave out the IPv4 blocks: an IPv4 address is never looked up there.
     std::vector<std::uint32_t> m_v4Starts;
     std::vector<std::uint16_t> m_v4Sites;
     std::vector<std::uint32_t> m_v4Index; // for each value h of the upper 16 bits: number of starts below h * 2^16
--- a/src/routing/block_table.cpp
+++ b/src/routing/block_table.cpp
@@ -94,10 +94,6 @@
     std::sort(sorted.begin(), sorted.end(), [](const document::ClientBlock &left, const document::ClientBlock &right) {
         return left.block < right.block;
     });
-    for (const Range &range : flatten(sorted, {0, 0}, defaultSite)) {
-        m_v6Starts.push_back(range.start);
-        m_v6Sites.push_back(range.site);
-    }
     std::uint16_t v4Default = defaultSite; // an IPv6 block shorter than /96 can enclose the whole IPv4-mapped range
     std::uint8_t longest = 0;
     const base::IpAddress v4First{0, ~s_v4Mask & 0x0000ffffffffffffULL};
@@ -107,10 +103,16 @@
             v4Default = block.site;
         }
     }
-    std::erase_if(sorted, [](const document::ClientBlock &block) {
+    const auto firstV4 = std::stable_partition(sorted.begin(), sorted.end(), [](const document::ClientBlock &block) {
         return !isV4Block(block);
     });
-    for (const Range &range : flatten(sorted, v4First, v4Default)) {
+    const std::span<const document::ClientBlock> v6Blocks(sorted.begin(), firstV4);
+    const std::span<const document::ClientBlock> v4Blocks(firstV4, sorted.end());
+    for (const Range &range : flatten(v6Blocks, {0, 0}, defaultSite)) {
+        m_v6Starts.push_back(range.start);
+        m_v6Sites.push_back(range.site);
+    }
+    for (const Range &range : flatten(v4Blocks, v4First, v4Default)) {
         if (range.start.isV4()) {
             m_v4Starts.push_back(static_cast<std::uint32_t>(range.start.low & s_v4Mask));
             m_v4Sites.push_back(range.site);
--- a/src/routing/entry_choice.cpp
+++ b/src/routing/entry_choice.cpp
@@ -75,17 +75,21 @@
 
 void EntryTable::appendDomain(EntryChoice &choice, const Domain &domain, std::uint64_t callerHash) const
 {
+    const std::size_t wanted = m_document->lookup.entries - std::min<std::size_t>(choice.entries.size(), m_document->lookup.entries);
+    if (wanted == 0) {
+        return;
+    }
     std::vector<std::pair<double, const EntryCandidate *>> ranked;
+    ranked.reserve(domain.candidates.size());
     for (const std::size_t index : domain.candidates) {
         ranked.emplace_back(rendezvousUnit(callerHash, m_candidates[index].name), &m_candidates[index]);
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(wanted, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end(), [](const auto &left, const auto &right) {
         return left.first > right.first;
     });
-    for (const auto &[rank, candidate] : ranked) {
-        if (choice.entries.size() < m_document->lookup.entries) {
-            choice.entries.push_back(candidate);
-        }
+    for (auto best = ranked.begin(); best != end; ++best) {
+        choice.entries.push_back(best->second);
     }
 }
 
