Hand the key table of a stopping instance to a peer

Cause: after a planned stop, repeats of keyed orders could only be told unknown. Ruled out: announcing the holder through gossip, which every node would have to keep; holder and callers' instances choose the same member by rendezvous hashing over the members that stay. Before: a repeat after the issuer's planned stop was told unknown. A relay now carries the caller's repeat number, without which the issuer could not tell a late copy from a repeat. Conclusion: partial where the members change after the stop: the holder may then not be found, and the answer is unknown, which is safe.

--- a/include/trefoilstile/daemon/messages.hpp
+++ b/include/trefoilstile/daemon/messages.hpp
@@ -16,6 +16,7 @@
 #include "trefoilstile/engine/event.hpp"
 #include "trefoilstile/http/load_poller.hpp"
 #include "trefoilstile/idempotency/issued_key.hpp"
+#include "trefoilstile/idempotency/sealed_tables.hpp"
 #include "trefoilstile/platform/circuit_breaker.hpp"
 #include "trefoilstile/platform/store.hpp"
 #include "trefoilstile/routing/entry_choice.hpp"
@@ -39,8 +40,19 @@
 struct StopSignal {
 };
 
+/// A peer that stops hands over a part of its key table.
+struct KeysOffered {
+    std::uint64_t ticket{}; ///< of the peer thread, for the reply
+    std::shared_ptr<const idempotency::SealedPart> part;
+};
+
+/// The handoff of the own key table has ended.
+struct KeysHandedOff {
+    bool complete = false; ///< a peer holds the whole table
+};
+
 /// From the caller I/O thread, the peer thread or the platform thread.
-using DecisionInput = std::variant<engine::Event, CallerWork, StopSignal>;
+using DecisionInput = std::variant<engine::Event, CallerWork, StopSignal, KeysOffered, KeysHandedOff>;
 
 // To the caller I/O thread.
 
@@ -116,7 +128,19 @@
     friend bool operator==(const InEffect &, const InEffect &) = default;
 };
 
-using PeerInput = std::variant<RowsRead, RowsFailed, ObjectFetched, DocumentParsed, DocumentRefused, InstanceList, InEffect>;
+/// The decision thread has taken a part of a peer's key table, or refused it.
+struct KeysImported {
+    std::uint64_t ticket{};
+    bool stored = false;
+    bool complete = false; ///< the whole table is held
+};
+
+/// Hand the own key table to a peer.
+struct HandOffKeys {
+    std::shared_ptr<const std::vector<idempotency::SealedPart>> parts;
+};
+
+using PeerInput = std::variant<RowsRead, RowsFailed, ObjectFetched, DocumentParsed, DocumentRefused, InstanceList, InEffect, KeysImported, HandOffKeys>;
 
 // To the platform thread.
 
--- a/include/trefoilstile/engine/engine.hpp
+++ b/include/trefoilstile/engine/engine.hpp
@@ -40,6 +40,10 @@
 /// run, here or at another instance, so `not-run` is told only without a key or to the caller's first attempt.
 Outcome outcomeBeforeKeyTable(const RequestArrived &event);
 
+/// Members that a stopping instance offers its key table to, best first, and that others ask for its keys afterwards.
+/// Both sides choose from their own view of the members that stay; where the views differ the answer is `unknown`.
+std::vector<base::IncarnationId> keyHolders(base::IncarnationId issuer, std::span<const base::IncarnationId> staying);
+
 struct EngineOptions {
     std::string name; ///< of this instance in the member list
     std::string environment; ///< chooses the addresses of upstreams
@@ -146,6 +150,7 @@
     // Keyed requests (keyed_requests.cpp).
     void beginKeyed(HeldRequest &request, base::TimePoint now);
     void relayToOwner(HeldRequest &request, base::IncarnationId owner, base::TimePoint now);
+    const EntryMember *relayTarget(base::IncarnationId owner) const;
     void settle(const idempotency::Ending &ending, RejectReason reason, base::TimePoint now);
     void withdrawKey(HeldRequest &request, base::TimePoint now);
 
--- a/src/daemon/decision_duty.cpp
+++ b/src/daemon/decision_duty.cpp
@@ -21,6 +21,9 @@
 /// Time in which other instances learn that this one is leaving and stop naming it in lookup responses.
 constexpr base::Duration s_leavingNotice = std::chrono::seconds(3);
 
+/// For the handoff of the key table: 64 MiB at 50 Mbit/s. Without it, keys are answered as unknown, which is safe.
+constexpr base::Duration s_handoffTime = std::chrono::seconds(10);
+
 } // namespace
 
 DecisionDuty::DecisionDuty(boost::asio::io_context &context, engine::EngineOptions options, DecisionOutputs outputs, std::function<void()> stopped)
@@ -48,6 +51,10 @@
         takeEvent(std::move(*event));
     } else if (const auto *work = std::get_if<CallerWork>(&input)) {
         m_work = *work;
+    } else if (const auto *offered = std::get_if<KeysOffered>(&input)) {
+        importKeys(*offered);
+    } else if (const auto *handedOff = std::get_if<KeysHandedOff>(&input)) {
+        endStop(handedOff->complete);
     } else {
         beginStop(http::now());
     }
@@ -226,10 +233,31 @@
     }
     const bool idle = m_work && m_work->connections == 0 && m_work->requests == 0 && m_work->attempts == 0;
     if (m_stopStep == StopStep::Finishing && idle && m_engine.figures().held == 0) {
-        m_stopStep = StopStep::Done;
-        log("decisions", "Planned stop: all requests have ended.");
-        m_stopped();
+        m_stopStep = StopStep::HandingOff;
+        m_handoffDeadline = now + s_handoffTime;
+        log("decisions", "Planned stop: all requests have ended, the key table is handed to a peer.");
+        m_outputs.peers->push(HandOffKeys{std::make_shared<const std::vector<idempotency::SealedPart>>(m_engine.exportKeys(now))});
+    }
+    if (m_stopStep == StopStep::HandingOff && now >= m_handoffDeadline) {
+        endStop(false);
+    }
+}
+
+void DecisionDuty::importKeys(const KeysOffered &offered)
+{
+    const idempotency::SealedTables::Import result = m_engine.importKeys(*offered.part, http::now());
+    const bool stored = result == idempotency::SealedTables::Import::Stored || result == idempotency::SealedTables::Import::Duplicate;
+    m_outputs.peers->push(KeysImported{offered.ticket, stored, stored && m_engine.holdsKeysOf(offered.part->incarnation)});
+}
+
+void DecisionDuty::endStop(bool keysHandedOff)
+{
+    if (m_stopStep != StopStep::HandingOff) {
+        return;
     }
+    m_stopStep = StopStep::Done;
+    log("decisions", "Planned stop: {}", keysHandedOff ? "a peer holds the key table." : "no peer took the key table, its keys are answered as unknown.");
+    m_stopped();
 }
 
 } // namespace trefoilstile::daemon
--- a/src/daemon/decision_duty.hpp
+++ b/src/daemon/decision_duty.hpp
@@ -41,7 +41,7 @@
 
 private:
     /// Steps of a planned stop, in order.
-    enum class StopStep { Running, Draining, Finishing, Done };
+    enum class StopStep { Running, Draining, Finishing, HandingOff, Done };
 
     struct Timing {
         base::TimePoint arrival;
@@ -60,6 +60,8 @@
     void reportStatus(base::TimePoint now);
     void beginStop(base::TimePoint now);
     void advanceStop(base::TimePoint now);
+    void importKeys(const KeysOffered &offered);
+    void endStop(bool keysHandedOff);
     void sample(const ReportInput &input);
 
     boost::asio::steady_timer m_timer;
@@ -77,6 +79,7 @@
     std::unordered_map<base::RequestId, Timing> m_timings; // of held requests
 
     StopStep m_stopStep = StopStep::Running;
+    base::TimePoint m_handoffDeadline;
     base::TimePoint m_drainedAt; // when cached lookup responses have expired
     std::optional<CallerWork> m_work; // since the caller port was closed
 };
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -65,6 +65,9 @@
     handlers.drainsFetched = [this](std::uint64_t fetch, steering::FetchResult result, base::Generation generation, std::string body) {
         m_dissemination.drainsFetched(fetch, result, generation, std::move(body), http::now(), *this);
     };
+    handlers.keysOffered = [this](std::uint64_t ticket, idempotency::SealedPart part) {
+        m_outputs.decisions->push(KeysOffered{ticket, std::make_shared<const idempotency::SealedPart>(std::move(part))});
+    };
     return handlers;
 }
 
@@ -201,6 +204,43 @@
     reportStatus();
 }
 
+void PeerDuty::run(const KeysImported &imported)
+{
+    m_network.replyToOffer(imported.ticket, imported.stored, imported.complete);
+}
+
+void PeerDuty::run(const HandOffKeys &handOff)
+{
+    std::vector<base::IncarnationId> candidates;
+    for (const auto &[incarnation, entry] : m_detector.table().entries()) {
+        if (incarnation != m_incarnation && entry.isAlive() && !entry.isLeaving()) {
+            candidates.push_back(incarnation);
+        }
+    }
+    std::vector<std::string> addresses; // the last one is tried first
+    for (const base::IncarnationId holder : engine::keyHolders(m_incarnation, candidates)) {
+        addresses.insert(addresses.begin(), m_detector.table().find(holder)->info.peerAddress);
+    }
+    handOffTo(std::move(addresses), handOff.parts);
+}
+
+void PeerDuty::handOffTo(std::vector<std::string> addresses, std::shared_ptr<const std::vector<idempotency::SealedPart>> parts)
+{
+    if (addresses.empty()) {
+        m_outputs.decisions->push(KeysHandedOff{false});
+        return;
+    }
+    const std::string address = addresses.back();
+    addresses.pop_back();
+    m_network.handOff(address, parts, [this, addresses = std::move(addresses), parts](bool complete) {
+        if (complete) {
+            m_outputs.decisions->push(KeysHandedOff{true});
+        } else {
+            handOffTo(addresses, parts);
+        }
+    });
+}
+
 void PeerDuty::run(const steering::FetchDocument &fetch)
 {
     if (!fetch.source.isStore()) {
--- a/src/daemon/peer_duty.hpp
+++ b/src/daemon/peer_duty.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -64,6 +65,8 @@
     void run(const DocumentRefused &refused);
     void run(const InstanceList &list);
     void run(const InEffect &inEffect);
+    void run(const KeysImported &imported);
+    void run(const HandOffKeys &handOff);
 
     void run(const steering::FetchDocument &fetch);
     void run(const steering::FetchDrains &fetch);
@@ -72,6 +75,7 @@
     void run(const steering::DrainsReady &ready);
 
     PeerNetworkHandlers networkHandlers();
+    void handOffTo(std::vector<std::string> addresses, std::shared_ptr<const std::vector<idempotency::SealedPart>> parts);
     void takeMessage(base::IncarnationId sender, const membership::Message &message);
     void tick();
     void pollInstances(base::TimePoint now);
--- a/src/daemon/peer_network.cpp
+++ b/src/daemon/peer_network.cpp
@@ -10,6 +10,7 @@
 #include "endpoint.hpp"
 #include "trefoilstile/daemon/log.hpp"
 #include "trefoilstile/document/parse.hpp"
+#include "trefoilstile/peer/sealed_keys.hpp"
 
 namespace trefoilstile::daemon
 {
@@ -156,6 +157,9 @@
         serveDrains(connection, *request);
         return true;
     }
+    if (const auto *offered = std::get_if<peer::HandoffPart>(&received->payload)) {
+        return takeOffer(connection, *offered);
+    }
     return false;
 }
 
@@ -215,6 +219,66 @@
     return connection;
 }
 
+bool PeerNetwork::takeOffer(FrameConnection &connection, const peer::HandoffPart &offered)
+{
+    std::optional<idempotency::SealedPart> part = peer::decodeSealedPart(offered.part.bytes);
+    if (!part || part->incarnation != offered.issuer) {
+        return false;
+    }
+    const std::uint64_t ticket = ++m_lastTicket;
+    m_offers[ticket] = {connection.weak_from_this(), offered.issuer, {offered.part.transfer, offered.part.index, offered.part.count, 0, {}}};
+    m_handlers.keysOffered(ticket, std::move(*part));
+    return true;
+}
+
+void PeerNetwork::replyToOffer(std::uint64_t ticket, bool stored, bool complete)
+{
+    const auto offer = m_offers.find(ticket);
+    if (offer == m_offers.end()) {
+        return;
+    }
+    if (const auto connection = offer->second.connection.lock()) {
+        if (stored) {
+            connection->send(m_codec.encode(peer::HandoffAck{offer->second.issuer, offer->second.part.transfer, offer->second.part.index + 1, complete}));
+        } else {
+            connection->close();
+        }
+    }
+    m_offers.erase(offer);
+}
+
+std::string PeerNetwork::encodeHandoff(const idempotency::SealedPart &part)
+{
+    std::string bytes = peer::encodeSealedPart(part);
+    const std::uint64_t size = bytes.size();
+    return m_codec.encode(peer::HandoffPart{part.incarnation, peer::Part{part.incarnation.value, part.part, part.parts, size, std::move(bytes)}});
+}
+
+void PeerNetwork::handOff(const std::string &address, std::shared_ptr<const std::vector<idempotency::SealedPart>> parts, std::function<void(bool)> onEnd)
+{
+    const auto [ip, port] = parseEndpoint(address);
+    auto complete = std::make_shared<bool>(false);
+    // The next part follows the acknowledgement of the one before.
+    const auto onFrame = [this, parts, complete](FrameConnection &connection, std::string_view bytes) {
+        const peer::DecodeResult result = m_codec.decode(bytes, peer::Channel::Frame);
+        const auto *received = std::get_if<peer::Received>(&result);
+        const auto *ack = received == nullptr ? nullptr : std::get_if<peer::HandoffAck>(&received->payload);
+        if (ack == nullptr || ack->issuer != parts->front().incarnation) {
+            return false;
+        }
+        *complete = ack->complete;
+        if (ack->received >= parts->size()) {
+            return false;
+        }
+        connection.send(encodeHandoff((*parts)[ack->received]));
+        return true;
+    };
+    auto connection = std::make_shared<FrameConnection>(tcp::socket(m_context), s_patience, onFrame, [complete, onEnd = std::move(onEnd)] {
+        onEnd(*complete);
+    });
+    connection->startWith(tcp::endpoint(ip, port), encodeHandoff(parts->front()));
+}
+
 void PeerNetwork::fetchDocument(std::uint64_t fetch, const std::string &address, const steering::DocumentVersion &version)
 {
     auto transfer = std::make_shared<Transfer>(Transfer{peer::PartAssembler(fetch, document::s_maximumDocumentBytes), steering::FetchResult::Failed, {}, {}});
--- a/src/daemon/peer_network.hpp
+++ b/src/daemon/peer_network.hpp
@@ -7,12 +7,14 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include "frame_connection.hpp"
+#include "trefoilstile/idempotency/sealed_tables.hpp"
 #include "trefoilstile/membership/messages.hpp"
 #include "trefoilstile/peer/envelope_codec.hpp"
 #include "trefoilstile/peer/parts.hpp"
@@ -35,6 +37,7 @@
     std::function<void(std::uint64_t fetch)> documentProgressed;
     std::function<void(std::uint64_t fetch, steering::FetchResult, std::string body)> documentFetched;
     std::function<void(std::uint64_t fetch, steering::FetchResult, base::Generation, std::string body)> drainsFetched;
+    std::function<void(std::uint64_t ticket, idempotency::SealedPart part)> keysOffered;
 };
 
 class PeerNetwork
@@ -54,6 +57,12 @@
     void fetchDocument(std::uint64_t fetch, const std::string &address, const steering::DocumentVersion &version);
     void fetchDrains(std::uint64_t fetch, const std::string &address, base::Generation generation);
 
+    /// Hands a key table to a peer; `onEnd` tells whether it holds the whole table.
+    void handOff(const std::string &address, std::shared_ptr<const std::vector<idempotency::SealedPart>> parts, std::function<void(bool)> onEnd);
+
+    /// Replies to an offered part.
+    void replyToOffer(std::uint64_t ticket, bool stored, bool complete);
+
     /// Replaces what is passed on to peers.
     void hold(HeldVersions versions);
 
@@ -67,6 +76,15 @@
         std::string body;
     };
 
+    /// Part of a key table that waits for the decision thread.
+    struct Offer {
+        std::weak_ptr<FrameConnection> connection;
+        base::IncarnationId issuer;
+        peer::Part part;
+    };
+
+    bool takeOffer(FrameConnection &connection, const peer::HandoffPart &offered);
+    std::string encodeHandoff(const idempotency::SealedPart &part);
     void receive();
     void takeDatagram(std::string_view bytes);
     void accept();
@@ -93,6 +111,8 @@
     HeldVersions m_held;
     steering::ServingLimit m_serving;
     std::size_t m_connections = 0; // accepted and open
+    std::uint64_t m_lastTicket = 0;
+    std::unordered_map<std::uint64_t, Offer> m_offers; // by ticket; at most one for each connection
 };
 
 } // namespace trefoilstile::daemon
--- a/src/engine/keyed_requests.cpp
+++ b/src/engine/keyed_requests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "trefoilstile/engine/engine.hpp"
+#include "trefoilstile/steering/rendezvous.hpp"
 
 namespace trefoilstile::engine
 {
@@ -56,18 +57,44 @@
     }
 }
 
+std::vector<base::IncarnationId> keyHolders(base::IncarnationId issuer, std::span<const base::IncarnationId> staying)
+{
+    constexpr std::size_t choices = 2; // the second takes the table if the first has no room
+    return steering::rendezvousChoice(staying, "keys:" + base::toHex(issuer), choices);
+}
+
+/// The issuer, or the member that its key table was handed to if it is gone.
+const EntryMember *Engine::relayTarget(base::IncarnationId owner) const
+{
+    std::vector<base::IncarnationId> staying;
+    for (const EntryMember &member : m_members) {
+        if (member.alive && member.incarnation == owner) {
+            return &member;
+        }
+        if (member.alive && !member.leaving) {
+            staying.push_back(member.incarnation);
+        }
+    }
+    for (const base::IncarnationId holder : keyHolders(owner, staying)) {
+        if (holder != m_options.incarnation) { // this instance has looked in the tables that it holds
+            return &*std::find_if(m_members.begin(), m_members.end(), [holder](const EntryMember &member) {
+                return member.incarnation == holder;
+            });
+        }
+    }
+    return nullptr;
+}
+
 void Engine::relayToOwner(HeldRequest &request, base::IncarnationId owner, base::TimePoint now)
 {
-    const auto member = std::find_if(m_members.begin(), m_members.end(), [owner](const EntryMember &candidate) {
-        return candidate.incarnation == owner;
-    });
+    const EntryMember *target = relayTarget(owner);
     request.key.clear(); // the key table does not hold it
-    if (request.relayed || member == m_members.end() || !member->alive || request.deadline <= now) {
+    if (request.relayed || target == nullptr || request.deadline <= now) {
         reject(request, 503, Outcome::Unknown, RejectReason::IssuerUnreachable, now);
         return;
     }
     request.stage = RequestStage::Relaying;
-    m_commands.emplace_back(Relay{request.id, member->callerAddress, request.deadline - now});
+    m_commands.emplace_back(Relay{request.id, target->callerAddress, request.deadline - now});
 }
 
 void Engine::on(RelayEnded &event, base::TimePoint now)
--- a/src/http/arrival.cpp
+++ b/src/http/arrival.cpp
@@ -17,7 +17,6 @@
 constexpr std::uint64_t s_longestDeadlineMs = 1'000'000'000;
 
 constexpr const char *s_keyHeader = "Idempotency-Key";
-constexpr const char *s_repeatHeader = "Trefoilstile-Repeat"; // the caller's number of this attempt with the key, from 0
 constexpr std::uint64_t s_highestRepeat = 1'000'000; // far above the retries that one deadline allows
 
 bool isVisible(std::string_view text)
--- a/src/http/arrival.hpp
+++ b/src/http/arrival.hpp
@@ -10,6 +10,9 @@
 namespace trefoilstile::http
 {
 
+/// Header with the caller's number of this attempt with the key, from 0.
+inline constexpr const char *s_repeatHeader = "Trefoilstile-Repeat";
+
 /// The event for a request, without its id; nothing if one of the fields it is made from is malformed or repeated.
 std::optional<engine::RequestArrived> describe(const Request &request, const base::IpAddress &peer);
 
--- a/src/http/caller_server_test.cpp
+++ b/src/http/caller_server_test.cpp
@@ -367,13 +367,16 @@
     ServerFixture fixture;
     FakeUpstream issuer;
     Peer caller(fixture.address);
-    caller.write("POST /hold HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx");
+    caller.write("POST /hold HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nTrefoilstile-Repeat: 2\r\nContent-Length: 1\r\n\r\nx");
     const auto request = fixture.next<RequestArrived>();
+    BOOST_TEST((request.repeat == 2U));
+    BOOST_TEST(request.fingerprint != 0U);
     fixture.execute(engine::Relay{request.id, issuer.address(), s_hangLimit});
     Peer served = issuer.accept();
     const auto relayed = served.read();
     BOOST_TEST(relayed.has("Trefoilstile-Relayed: 1"));
     BOOST_TEST(relayed.has("Idempotency-Key: k"));
+    BOOST_TEST(relayed.has("Trefoilstile-Repeat: 2"));
     BOOST_TEST(relayed.body == "x");
     served.write("HTTP/1.1 503 Service Unavailable\r\nTrefoilstile-Outcome: not-run\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n");
     const auto response = caller.read();
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -1,4 +1,5 @@
 // Carries out `Relay`.
+#include "arrival.hpp"
 #include "transfer.hpp"
 
 #include <algorithm>
@@ -69,6 +70,9 @@
     Headers extra;
     extra.push_back({"Trefoilstile-Deadline-Ms", std::to_string(std::max<std::int64_t>(base::toMilliseconds(left), 1))});
     extra.push_back({"Trefoilstile-Relayed", "1"});
+    if (const std::string *repeat = findHeader(m_exchange->request.headers, s_repeatHeader)) {
+        extra.push_back({s_repeatHeader, *repeat}); // the issuer tells late copies from repeats by it
+    }
     const std::string text = forwardedHead(m_exchange->request, extra);
     const bool sent = co_await m_call.send(text, m_exchange->request.body);
     ResponseHead head;
