Keep urgent work out of full upstream queues

Cause: on the downloads service, 3 to 9 urgent requests of a bulk flood timed out behind downloads at an upstream.

--- a/include/trefoilstile/admission/class_scheduler.hpp
+++ b/include/trefoilstile/admission/class_scheduler.hpp
@@ -48,7 +48,7 @@
     /// Slots kept for a class beyond its mean demand, in units of the square root of that demand (the spread of the
     /// number in use when arrivals are independent).
     double burstMargin = 1.0;
-    /// One urgent request may start above the slots if all of them are taken and no urgent one runs. With one or two
+    /// One urgent request may start above the slots if all of them are taken by long work and no urgent one runs. With one or two
     /// slots no reserve is possible without stopping the other classes.
     bool urgentBeyondSlots = true;
     /// Urgent work goes before the weights while its demand fits beside the other classes' shares.
@@ -148,6 +148,7 @@
     using Turns = std::array<std::optional<Turn>, 2 * base::s_priorityClassCount + 1>;
 
     double guarantee(base::PriorityClass priorityClass, std::size_t slots) const;
+    double releaseRate() const;
     double heldWhenWaiting(base::PriorityClass priorityClass, std::size_t slots) const;
     bool entitled(base::PriorityClass priorityClass, std::size_t slots) const;
     bool mayBorrow(base::PriorityClass priorityClass, base::TimePoint now, std::size_t slots) const;
--- a/include/trefoilstile/upstream/upstream_set.hpp
+++ b/include/trefoilstile/upstream/upstream_set.hpp
@@ -58,7 +58,8 @@
     /// Otherwise each instance's adaptive limit alone bounds its use.
     bool splitSlots = true;
     /// Part of an upstream's slots in the own region that is left to the other instances even if reports show it idle.
-    /// Without it, the slots that their schedulers keep free for urgent work would be lent to downloads.
+    /// Without it, the slots that their schedulers keep free for urgent work would be lent. Bulk work borrows none in its
+    /// own region: it holds a slot for so long that the owner's urgent work would time out behind it at the upstream.
     double idleKept = 0.5;
     /// Least part of its own slots that an instance uses while an upstream is cold. Its weight is lower still, so that it
     /// is used for what the others cannot take.
@@ -163,7 +164,7 @@
 
     std::uint32_t inFlight() const;
 
-    /// Attempts allowed at this upstream now; 0 if it takes no new work.
+    /// Attempts allowed at this upstream now for urgent and interactive work; 0 if it takes no new work.
     std::uint32_t allowed(std::size_t index, base::TimePoint now) const;
 
     bool leaving(std::size_t index) const
@@ -207,7 +208,7 @@
     };
 
     bool takesWork(const Member &member, bool distrust) const;
-    std::uint32_t allowedOf(const Member &member, base::TimePoint now) const;
+    std::uint32_t allowedOf(const Member &member, base::PriorityClass priorityClass, base::TimePoint now) const;
     std::uint32_t idleShare(const Member &member, base::TimePoint now) const;
     std::optional<Candidate> candidate(const Member &member, std::size_t index, const ChoiceRequest &request, bool distrust, base::TimePoint now) const;
     std::optional<std::size_t> probeTarget(const ChoiceRequest &request, base::TimePoint now) const;
--- a/src/admission/class_scheduler.cpp
+++ b/src/admission/class_scheduler.cpp
@@ -134,13 +134,9 @@
     double wait = 0.0;
     if (ahead == 0) {
         // The next slot of any class goes to an entitled one; before that, the share's debt has to be worked off.
-        double releases = 0.0;
-        for (const base::PriorityClass other : base::s_priorityClasses) {
-            releases += static_cast<double>(m_running[other]) / m_times[other].held(m_options.priorServiceTime);
-        }
         const double debt = std::max(0.0, -m_credit[priorityClass]) / std::max(guarantee(priorityClass, slots), s_rounding);
         const double own = m_times[priorityClass].held(m_options.priorServiceTime) / heldWhenWaiting(priorityClass, slots);
-        wait = std::min((entitled(priorityClass, slots) ? 0.0 : debt) + 1.0 / std::max(releases, s_rounding), own);
+        wait = std::min((entitled(priorityClass, slots) ? 0.0 : debt) + 1.0 / std::max(releaseRate(), s_rounding), own);
     } else {
         const double held = heldWhenWaiting(priorityClass, slots) + (free ? 1.0 : 0.0);
         wait = static_cast<double>(ahead + 1) * m_times[priorityClass].held(m_options.priorServiceTime) / held;
@@ -148,6 +144,16 @@
     return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(std::min(wait, s_longestWait)));
 }
 
+// Slots per second that running work gives back.
+double ClassScheduler::releaseRate() const
+{
+    double rate = 0.0;
+    for (const base::PriorityClass priorityClass : base::s_priorityClasses) {
+        rate += static_cast<double>(m_running[priorityClass]) / m_times[priorityClass].held(m_options.priorServiceTime);
+    }
+    return rate;
+}
+
 double ClassScheduler::overload(base::PriorityClass priorityClass, base::TimePoint now, std::size_t slots) const
 {
     constexpr double least = 0.1; // keeps the factor of a class without a share finite
@@ -269,7 +275,9 @@
     Turns result;
     std::size_t count = 0;
     if (running() >= slots) {
-        if (m_options.urgentBeyondSlots && slots > 0 && m_running[base::PriorityClass::Urgent] == 0
+        // Waiting for the end of short work is better than a place in the queue of an upstream that is full.
+        const bool releasesSoon = releaseRate() * base::toSeconds(m_options.reclaimTime[base::PriorityClass::Urgent]) >= 1.0;
+        if (m_options.urgentBeyondSlots && !releasesSoon && slots > 0 && m_running[base::PriorityClass::Urgent] == 0
             && m_options.classes[base::PriorityClass::Urgent].minimumShare > 0.0 && running() <= slots) {
             result[count++] = Turn {base::PriorityClass::Urgent, false, true};
         }
--- a/src/upstream/upstream_set.cpp
+++ b/src/upstream/upstream_set.cpp
@@ -52,7 +52,7 @@
     if (!takesWork(member, distrust) || std::find(request.excluded.begin(), request.excluded.end(), index) != request.excluded.end()) {
         return std::nullopt;
     }
-    std::uint32_t most = allowedOf(member, now);
+    std::uint32_t most = allowedOf(member, request.priorityClass, now);
     if (request.beyondLimit) {
         most = std::min(most + 1, member.limit.ceiling());
     }
@@ -130,10 +130,10 @@
 std::uint32_t UpstreamSet::allowed(std::size_t index, base::TimePoint now) const
 {
     const Member &member = m_members.at(index);
-    return takesWork(member, distrusted()) ? allowedOf(member, now) : 0;
+    return takesWork(member, distrusted()) ? allowedOf(member, base::PriorityClass::Urgent, now) : 0;
 }
 
-std::uint32_t UpstreamSet::allowedOf(const Member &member, base::TimePoint now) const
+std::uint32_t UpstreamSet::allowedOf(const Member &member, base::PriorityClass priorityClass, base::TimePoint now) const
 {
     const std::uint32_t limit = member.limit.allowed(now);
     if (!m_options.splitSlots) {
@@ -141,7 +141,8 @@
     }
     const double ramp = std::max(member.limit.ramp(now), m_options.coldSlots);
     const std::uint32_t own = ramp < 1.0 ? roundByHash(ramp * member.part, member.entry.name, m_config.instance, roundingPeriod(now)) : member.part;
-    return std::min(limit, own + idleShare(member, now));
+    const bool ownOnly = member.near && priorityClass == base::PriorityClass::Bulk;
+    return std::min(limit, own + (ownOnly ? 0 : idleShare(member, now)));
 }
 
 // Whole slots beyond the own part that this instance may use, since reports say that they are idle.
@@ -163,7 +164,7 @@
     std::uint32_t total = 0;
     for (const Member &member : m_members) {
         const bool wanted = std::find(domains.begin(), domains.end(), member.domain) != domains.end();
-        total += wanted && takesWork(member, distrust) ? std::max(allowedOf(member, now), member.inFlight) : member.inFlight;
+        total += wanted && takesWork(member, distrust) ? std::max(allowedOf(member, base::PriorityClass::Urgent, now), member.inFlight) : member.inFlight;
     }
     return total;
 }
