End alarms that nobody can end, and forget old failures of a source

Cause: a fleet test with 5% loss showed document_regressed standing for ever on nodes that had raised it as pollers and were pollers no longer. Reading the code for another failure showed that failures of a source added up over its whole life, so one new failure could set it aside for 5 s, the whole bound of a document. Ruled out: an alarm that ends after some time without confirmation, which would end while a slow store is still behind. The cool-down has no test that fails without this change. Conclusion: an alarm is reported by those who can still check it.

--- a/include/trefoilstile/steering/dissemination.hpp
+++ b/include/trefoilstile/steering/dissemination.hpp
@@ -31,7 +31,7 @@
     base::Duration drainsTimeout = std::chrono::milliseconds(400); ///< lists are small and must arrive within 3 s
     base::Duration spread = std::chrono::milliseconds(100); ///< random wait before a document fetch; meanwhile more peers hold it
     base::Duration cooldownFirst = std::chrono::milliseconds(200); ///< of a source that failed
-    base::Duration cooldownLast = std::chrono::seconds(5); ///< a source that is back is asked again this soon
+    base::Duration cooldownLast = std::chrono::seconds(2); ///< a source that is back is asked again well within the bound of 5 s
     base::Duration busyWait = std::chrono::milliseconds(100); ///< before a busy peer is asked again; about one transfer
     std::size_t outstandingPolls = 3; ///< a slow store is not asked ever more often
     base::Duration pollForgotten = std::chrono::seconds(10); ///< a poll that was never answered
--- a/include/trefoilstile/steering/generation_holder.hpp
+++ b/include/trefoilstile/steering/generation_holder.hpp
@@ -36,8 +36,9 @@
 /// Holds the generations in effect, which move up only.
 ///
 /// Rules for clearing alarms. `document_regressed` is cleared when the store answers with a generation that is not
-/// below the one in effect. `document_hash_mismatch` is cleared when a higher generation comes into effect than the one
-/// in dispute, since the disputed generation then no longer matters to anybody.
+/// below the one in effect, when a higher generation comes into effect, and when this node stops asking the store; if
+/// the store is still behind, the pollers raise it again with their next answer. `document_hash_mismatch` is cleared when a higher generation comes into effect
+/// than the one in dispute, since the disputed generation then no longer matters to anybody.
 class GenerationHolder
 {
 public:
@@ -66,6 +67,12 @@
     /// Puts a drain list in effect if its generation is higher. Returns whether it did.
     bool adoptDrains(base::Generation generation);
 
+    /// This node no longer asks the store, so it cannot tell whether the store has caught up.
+    void stopWatchingStore()
+    {
+        m_regressed.reset();
+    }
+
     /// Alarms that stand at present.
     std::vector<Alarm> alarms() const;
 
--- a/include/trefoilstile/steering/source_book.hpp
+++ b/include/trefoilstile/steering/source_book.hpp
@@ -61,7 +61,8 @@
     /// Offer of the highest generation above `above` by a peer.
     std::optional<DrainsOffer> bestDrains(base::Generation above, base::TimePoint now, base::SplitMix64 &random) const;
 
-    /// The source gave nothing: it is passed over for `first`, then twice that, up to `last`.
+    /// The source gave nothing: it is passed over for `first`, then twice that, up to `last`. A higher announcement of
+    /// a peer ends that, since the peer has evidently been reached by others.
     void failed(const Source &source, base::Duration first, base::Duration last, base::TimePoint now);
     void succeeded(const Source &source);
 
--- a/src/steering/dissemination.cpp
+++ b/src/steering/dissemination.cpp
@@ -20,6 +20,9 @@
     });
     bool due = m_poller.due(alive, now, m_random);
     m_isPoller = m_poller.isPoller(alive);
+    if (!m_isPoller && m_polls.empty()) {
+        m_holder.stopWatchingStore();
+    }
     if (!m_holder.hasDocument() && !m_isPoller) {
         // A node that starts from nothing asks the store itself, since there may be no peer with a document.
         if (!m_nextFirstPoll || now >= *m_nextFirstPoll) {
--- a/src/steering/generation_holder.cpp
+++ b/src/steering/generation_holder.cpp
@@ -64,6 +64,7 @@
     }
     m_announcement.document = version;
     m_adopted = now;
+    m_regressed.reset();
     m_hashes[version.generation] = version.hash;
     if (m_hashes.size() > s_knownHashes) {
         m_hashes.erase(m_hashes.begin());
--- a/src/steering/source_book.cpp
+++ b/src/steering/source_book.cpp
@@ -35,6 +35,10 @@
     known.address = address;
     known.heard = now;
     // Announcements of one incarnation only move up, so a lower one was overtaken on its way.
+    if (announcement.document.generation > known.announcement.document.generation || announcement.drains > known.announcement.drains) {
+        // It has just fetched something itself, so earlier failures say little.
+        known.cooldown = {};
+    }
     if (announcement.document.generation >= known.announcement.document.generation) {
         known.announcement.document = announcement.document;
     }
@@ -97,6 +101,9 @@
 void SourceBook::failed(const Source &source, base::Duration first, base::Duration last, base::TimePoint now)
 {
     if (Cooldown *cooldown = cooldownOf(source)) {
+        if (now - cooldown->until >= last) {
+            cooldown->failures = 0;
+        }
         cooldown->until = now + std::min(first * (1 << cooldown->failures), last);
         cooldown->failures = std::min(cooldown->failures + 1, s_maximumDoublings);
     }
