--- a/include/trefoilstile/membership/member_table.hpp
+++ b/include/trefoilstile/membership/member_table.hpp
@@ -21,7 +21,7 @@
     MemberInfo info;
     MemberStatus status;
     bool listedLeaving = false; ///< marked by the platform's instance list; known to this node only
-    bool passedOn = true; ///< false for a tombstone of a member never known alive here, so that tombstones end
+    bool passedOn = true; ///< false for a tombstone of a member not known here as alive by anybody, so that tombstones end
     base::TimePoint since; ///< when the state came to be what it is
 
     bool isAlive() const
--- a/src/membership/failure_detector_receive.cpp
+++ b/src/membership/failure_detector_receive.cpp
@@ -41,8 +41,9 @@
         answer(probe->nonce, body);
     } else if (const auto *exchange = std::get_if<SummaryExchange>(&message)) {
         answer(exchange->nonce, body);
-    } else if (m_counters.refutations != refutations) {
-        // The informer learns at once that the report about this node is wrong.
+    } else if (m_counters.refutations != refutations || (after != nullptr && !after->isAlive())) {
+        // The informer learns at once that the report about this node is wrong, or a live sender that it is taken for
+        // dead. Its tombstone here may be one that is not passed on, so no other message need tell it.
         send(body.sender.info->peerAddress, Gossip {makeBody(&*body.sender.info, sender)});
     }
     if (const auto *ack = std::get_if<Ack>(&message)) {
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -65,6 +65,12 @@
     const MemberState before = entry.status.state;
     const bool reported = mergeReport(entry.status, update.status);
     const bool merged = mergeState(entry.status, update.status);
+    if (!merged && !entry.passedOn && update.status.state != MemberState::Dead) {
+        // Somebody holds the member as alive. Passing on the tombstone either ends that or makes the member refute it.
+        entry.passedOn = true;
+        ++m_version;
+        return Change::State;
+    }
     if (!reported && !merged) {
         return Change::None;
     }
