--- a/bench/cost/decision_cost.cpp
+++ b/bench/cost/decision_cost.cpp
@@ -68,7 +68,7 @@
 void scheduleOne(benchmark::State &state)
 {
     admission::SchedulerOptions options;
-    options.classes = {{document::ClassPolicy {8.0, 0.3}, document::ClassPolicy {3.0, 0.3}, document::ClassPolicy {1.0, 0.1}}};
+    options.classes = {{document::ClassPolicy{8.0, 0.3}, document::ClassPolicy{3.0, 0.3}, document::ClassPolicy{1.0, 0.1}}};
     options.queueLength = 100000;
     admission::ClassScheduler scheduler(options);
     base::TimePoint now(1s);
--- a/bench/membership/membership_cost.cpp
+++ b/bench/membership/membership_cost.cpp
@@ -21,8 +21,8 @@
 {
 
 struct Size {
-    std::size_t domains {};
-    std::size_t nodesPerDomain {};
+    std::size_t domains{};
+    std::size_t nodesPerDomain{};
 };
 
 constexpr Size s_sizes[] = {{4, 3}, {6, 8}, {6, 32}, {30, 63}};
--- a/bench/policy/bounds_test.cpp
+++ b/bench/policy/bounds_test.cpp
@@ -37,7 +37,7 @@
 /// Every class claims three times its share and more; the flood comes from one of them.
 Scenario claimed(std::size_t flooding)
 {
-    Phase phase {"claimed", 20s, {{0.9, 0.9, 0.9}}};
+    Phase phase{"claimed", 20s, {{0.9, 0.9, 0.9}}};
     phase.demand.values.at(flooding) = flooding == 2 ? 10.0 : 3.0;
     return {"claimed", {{"warm", 5s, phase.demand}, phase}, {}};
 }
--- a/src/membership/failure_detector_receive.cpp
+++ b/src/membership/failure_detector_receive.cpp
@@ -44,7 +44,7 @@
     } else if (m_counters.refutations != refutations || (after != nullptr && !after->isAlive())) {
         // The informer learns at once that the report about this node is wrong, or a live sender that it is taken for
         // dead. Its tombstone here may be one that is not passed on, so no other message need tell it.
-        send(body.sender.info->peerAddress, Gossip {makeBody(&*body.sender.info, sender)});
+        send(body.sender.info->peerAddress, Gossip{makeBody(&*body.sender.info, sender)});
     }
     if (const auto *ack = std::get_if<Ack>(&message)) {
         handleAck(sender, *ack, now);
--- a/src/membership/failure_detector_test.cpp
+++ b/src/membership/failure_detector_test.cpp
@@ -35,10 +35,10 @@
 }
 
 struct OneNode {
-    base::SplitMix64 random {1};
-    base::TimePoint now {std::chrono::hours(1)};
+    base::SplitMix64 random{1};
+    base::TimePoint now{std::chrono::hours(1)};
     Sent sink;
-    FailureDetector node {{}, {1}, infoAt("a1"), {}, random};
+    FailureDetector node{{}, {1}, infoAt("a1"), {}, random};
 
     void hear(std::uint64_t sender, const Message &message)
     {
@@ -55,7 +55,7 @@
         GossipBody body = bodyFrom(9, "a9");
         body.updates.push_back(bodyFrom(member, address).sender);
         body.updates.back().status.state = MemberState::Dead;
-        hear(9, Gossip {body});
+        hear(9, Gossip{body});
     }
 
     bool told(const std::string &address, std::uint64_t member, MemberState state)
@@ -91,20 +91,20 @@
 
 BOOST_AUTO_TEST_CASE(answerByAnotherIncarnationProvesTheReplacement)
 {
-    hear(2, Gossip {bodyFrom(2, "a2")});
+    hear(2, Gossip{bodyFrom(2, "a2")});
     const Probe probe = nextProbe();
     BOOST_TEST(probe.target.value == 2U);
-    hear(3, Ack {probe.nonce, {3}, bodyFrom(3, "a2")});
+    hear(3, Ack{probe.nonce, {3}, bodyFrom(3, "a2")});
     BOOST_TEST((stateOf(2) == MemberState::Dead));
     BOOST_TEST((stateOf(3) == MemberState::Alive));
 }
 
 BOOST_AUTO_TEST_CASE(recordThatNamesAnAddressProvesNothing)
 {
-    hear(2, Gossip {bodyFrom(2, "a2")});
-    hear(3, Gossip {bodyFrom(3, "a2")});
+    hear(2, Gossip{bodyFrom(2, "a2")});
+    hear(3, Gossip{bodyFrom(3, "a2")});
     BOOST_TEST((stateOf(2) == MemberState::Alive));
-    hear(3, Ack {12'345, {3}, bodyFrom(3, "a2")});
+    hear(3, Ack{12'345, {3}, bodyFrom(3, "a2")});
     BOOST_TEST((stateOf(2) == MemberState::Alive), "nor does an answer to no open question");
 }
 
@@ -112,23 +112,23 @@
 {
     GossipBody body = bodyFrom(2, "a2");
     body.updates.push_back(bodyFrom(5, "a1").sender);
-    hear(2, Gossip {body});
+    hear(2, Gossip{body});
     BOOST_TEST((stateOf(5) == MemberState::Dead));
 }
 
 BOOST_AUTO_TEST_CASE(liveSenderIsToldThatItIsTakenForDead)
 {
     hearDeath(2, "a2");
-    hear(2, Gossip {bodyFrom(2, "a2")});
+    hear(2, Gossip{bodyFrom(2, "a2")});
     BOOST_TEST(told("a2", 2, MemberState::Dead));
     BOOST_TEST((stateOf(2) == MemberState::Dead), "a message alone does not revive");
-    hear(2, Gossip {bodyFrom(2, "a2", 2)});
+    hear(2, Gossip{bodyFrom(2, "a2", 2)});
     BOOST_TEST((stateOf(2) == MemberState::Alive), "the higher status number does");
 }
 
 BOOST_AUTO_TEST_CASE(reportAboutSelfIsRefutedWithAHigherNumber)
 {
-    hear(2, Gossip {bodyFrom(2, "a2")});
+    hear(2, Gossip{bodyFrom(2, "a2")});
     sink.all.clear();
     hearDeath(1, "a1");
     BOOST_TEST((stateOf(1) == MemberState::Alive));
@@ -138,7 +138,7 @@
 
 BOOST_AUTO_TEST_CASE(messageInAnothersNameIsIgnored)
 {
-    hear(3, Gossip {bodyFrom(2, "a2")});
+    hear(3, Gossip{bodyFrom(2, "a2")});
     BOOST_TEST(node.table().entries().size() == 1U);
 }
 
--- a/src/membership/fleet_sequence_test.cpp
+++ b/src/membership/fleet_sequence_test.cpp
@@ -21,8 +21,8 @@
 
 struct Step {
     Fault fault = Fault::Kill;
-    std::size_t node {};
-    int tenths {}; ///< time that passes afterwards, in tenths of a second
+    std::size_t node{};
+    int tenths{}; ///< time that passes afterwards, in tenths of a second
 };
 
 std::ostream &operator<<(std::ostream &stream, const Step &step)
--- a/src/membership/member_table_test.cpp
+++ b/src/membership/member_table_test.cpp
@@ -18,7 +18,7 @@
 
 MemberUpdate update(std::uint64_t id, std::uint64_t number, MemberState state)
 {
-    MemberUpdate made {{id}, {}, MemberInfo {"n", "c", "p" + std::to_string(id), "r", "d"}};
+    MemberUpdate made{{id}, {}, MemberInfo{"n", "c", "p" + std::to_string(id), "r", "d"}};
     made.status.statusNumber = number;
     made.status.state = state;
     return made;
--- a/src/membership/testing/steered_fleet.cpp
+++ b/src/membership/testing/steered_fleet.cpp
@@ -79,14 +79,14 @@
     Steered &steered = m_steered[node];
     const FleetNode &place = nodes()[node];
     steered.dissemination =
-        std::make_unique<steering::Dissemination>(steering::DisseminationOptions {}, place.incarnation, place.info.failureDomain, hashOf, m_random);
+        std::make_unique<steering::Dissemination>(steering::DisseminationOptions{}, place.incarnation, place.info.failureDomain, hashOf, m_random);
     steered.inEffect = {};
     steered.serving = steering::ServingLimit();
 }
 
 void SteeredFleet::ticked(std::size_t node)
 {
-    Commands sink {*this, node};
+    Commands sink{*this, node};
     m_steered[node].dissemination->tick(nodes()[node].detector->localAlive(), now(), sink);
     inEffect(node);
 }
@@ -94,7 +94,7 @@
 void SteeredFleet::heard(std::size_t node, const Message &message)
 {
     const GossipBody &body = bodyOf(message);
-    Commands sink {*this, node};
+    Commands sink{*this, node};
     m_steered[node].dissemination->peerAnnounced(body.sender.incarnation, body.sender.info->peerAddress, body.announcement, now(), sink);
     inEffect(node);
 }
@@ -112,7 +112,7 @@
     const bool rewritten = present.document.generation == steered.inEffect.document.generation && present.document.hash != steered.inEffect.document.hash;
     reversals += lower(present, steered.inEffect) || rewritten ? 1U : 0U;
     steered.inEffect = present;
-    Sink sink {*this, node};
+    Sink sink{*this, node};
     nodes()[node].detector->setAnnouncement(present, now(), sink);
 }
 
@@ -148,10 +148,10 @@
     at(now() + store.latency / 2, [this, node, incarnation, poll]() {
         const bool reached = reachesStore(node);
         store.reads += reached ? 1U : 0U;
-        const steering::StoreRows rows {store.document, store.drains, "drains"};
+        const steering::StoreRows rows{store.document, store.drains, "drains"};
         at(now() + store.latency / 2, [this, node, incarnation, poll, reached, rows]() {
             deliver(node, incarnation, [this, node, poll, reached, rows]() {
-                Commands sink {*this, node};
+                Commands sink{*this, node};
                 if (reached) {
                     m_steered[node].dissemination->storeAnswered(poll, rows, now(), sink);
                 } else {
@@ -227,7 +227,7 @@
 void SteeredFleet::endDocument(std::size_t node, base::IncarnationId incarnation, std::uint64_t fetch, steering::FetchResult result, std::string body)
 {
     deliver(node, incarnation, [this, node, fetch, result, body = std::move(body)]() {
-        Commands sink {*this, node};
+        Commands sink{*this, node};
         m_steered[node].dissemination->documentFetched(fetch, result, body, now(), sink);
         inEffect(node);
     });
@@ -241,7 +241,7 @@
         const base::Generation held = m_steered[server].inEffect.drains;
         return [this, node, incarnation, command, held]() {
             deliver(node, incarnation, [this, node, command, held]() {
-                Commands sink {*this, node};
+                Commands sink{*this, node};
                 const auto result = held.value == 0 ? steering::FetchResult::Absent : steering::FetchResult::Found;
                 m_steered[node].dissemination->drainsFetched(command.fetch, result, held, "drains", now(), sink);
                 inEffect(node);
--- a/src/membership/testing/steered_fleet.hpp
+++ b/src/membership/testing/steered_fleet.hpp
@@ -17,8 +17,8 @@
     bool up = true;
     std::set<std::size_t> cutOffDomains; ///< failure domains that do not reach it, though they reach each other
     base::Duration latency = std::chrono::milliseconds(10);
-    std::uint64_t reads {}; ///< polls answered
-    std::uint64_t bodies {}; ///< bodies served
+    std::uint64_t reads{}; ///< polls answered
+    std::uint64_t bodies{}; ///< bodies served
 };
 
 class SteeredFleet : public Fleet
@@ -52,7 +52,7 @@
     bool drainsEverywhere();
 
     /// Times that a generation in effect went down at a node; must stay 0.
-    std::uint64_t reversals {};
+    std::uint64_t reversals{};
 
     /// Most bodies that one node has served.
     std::uint64_t mostServed() const;
@@ -62,7 +62,7 @@
         std::unique_ptr<steering::Dissemination> dissemination;
         steering::Announcement inEffect;
         steering::ServingLimit serving;
-        std::uint64_t served {};
+        std::uint64_t served{};
     };
 
     struct Commands {
@@ -88,8 +88,8 @@
     void ask(std::size_t from, std::size_t to, std::function<std::function<void()>()> step);
 
     std::vector<Steered> m_steered;
-    std::uint64_t m_highestDocument {};
-    std::uint64_t m_highestDrains {};
+    std::uint64_t m_highestDocument{};
+    std::uint64_t m_highestDrains{};
 };
 
 } // namespace trefoilstile::membership::testing
