--- a/include/trefoilstile/daemon/messages.hpp
+++ b/include/trefoilstile/daemon/messages.hpp
@@ -122,7 +122,7 @@
 struct InEffect {
     base::Generation generation;
     base::Generation drainGeneration;
-    bool leaving = false;
+    bool stopping = false; ///< a planned stop is under way; a drain alone can be taken back
     std::optional<std::uint32_t> spareCapacity; ///< of the region, requests/s
 
     friend bool operator==(const InEffect &, const InEffect &) = default;
--- a/include/trefoilstile/engine/engine.hpp
+++ b/include/trefoilstile/engine/engine.hpp
@@ -161,6 +161,7 @@
     std::optional<upstream::Choice> chooseUpstream(HeldRequest &request, bool beyondLimit, base::TimePoint now);
     bool canStart(const HeldRequest &request, base::TimePoint now);
     bool mayForward(const HeldRequest &request, const RemoteRegion &remote, base::TimePoint now);
+    base::Duration firstByteTimeout(const HeldRequest &request, base::TimePoint now) const;
     void sendAttempt(HeldRequest &request, bool resume, base::TimePoint now);
     void endAttempt(HeldRequest &request, const AttemptEnded &event, base::TimePoint now);
     void applyDecision(HeldRequest &request, retry::RetryDecision decision, const AttemptEnded &event, base::TimePoint now);
--- a/src/daemon/decision_duty.cpp
+++ b/src/daemon/decision_duty.cpp
@@ -153,7 +153,8 @@
 
 void DecisionDuty::announceInEffect(base::TimePoint now)
 {
-    InEffect inEffect{m_engine.generation(), m_engine.drainGeneration(), m_engine.leaving(), m_announced ? m_announced->spareCapacity : std::nullopt};
+    InEffect inEffect{
+        m_engine.generation(), m_engine.drainGeneration(), m_stopStep != StopStep::Running, m_announced ? m_announced->spareCapacity : std::nullopt};
     if (now >= m_nextCapacity) {
         m_nextCapacity = now + s_capacityPeriod;
         const std::optional<double> spare = m_engine.spareCapacity(now);
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -198,7 +198,7 @@
     if (inEffect.spareCapacity) {
         m_detector.setSpareCapacity(*inEffect.spareCapacity);
     }
-    if (inEffect.leaving) {
+    if (inEffect.stopping) {
         m_detector.announceLeaving(now, *this);
     }
     reportStatus();
--- a/src/engine/attempts.cpp
+++ b/src/engine/attempts.cpp
@@ -42,8 +42,13 @@
         rejectUnstarted(request, RejectReason::ShiftCap, now);
         return;
     }
+    const std::size_t available = slots(service, now);
+    if (available == 0) {
+        rejectUnstarted(request, RejectReason::NoUpstream, now);
+        return;
+    }
     const admission::QueuedRequest queued{request.id, request.priorityClass, request.arrival, request.deadline};
-    switch (service.scheduler.enqueue(queued, now, slots(service, now))) {
+    switch (service.scheduler.enqueue(queued, now, available)) {
     case admission::Admission::QueueFull:
         rejectUnstarted(request, RejectReason::QueueFull, now);
         return;
@@ -95,6 +100,15 @@
     return true;
 }
 
+/// Time for one attempt. A request that may be retried keeps half of its time for an upstream that responds: otherwise one
+/// that accepts and stays silent would take all of it.
+base::Duration Engine::firstByteTimeout(const HeldRequest &request, base::TimePoint now) const
+{
+    const base::Duration left = request.deadline - now;
+    const bool mayRetry = request.idempotent && !request.responseStarted && request.attempts < request.service->settings.retry.maximumAttempts;
+    return mayRetry ? std::max(left / 2, s_leastAttemptTime) : left;
+}
+
 void Engine::sendAttempt(HeldRequest &request, bool resume, base::TimePoint now)
 {
     ServiceState &service = *request.service;
@@ -122,7 +136,7 @@
     command.keepResponse = !request.key.empty();
     command.resume = resume;
     command.connectTimeout = service.settings.connectTimeout;
-    command.firstByteTimeout = request.deadline - now;
+    command.firstByteTimeout = firstByteTimeout(request, now);
     command.idleTimeout = service.settings.idleTimeout;
     command.linkTo = request.remote;
     m_commands.emplace_back(std::move(command));
--- a/src/engine/engine_test.cpp
+++ b/src/engine/engine_test.cpp
@@ -385,6 +385,31 @@
     BOOST_TEST(world.open.empty());
 }
 
+BOOST_AUTO_TEST_CASE(silentUpstreamLeavesTimeForARetry)
+{
+    Embedder world;
+    world.arrive("GET", "/");
+    const Forward first = world.open.at(0);
+    BOOST_TEST((first.firstByteTimeout <= 500ms)); // of 1 s
+    world.pass(first.firstByteTimeout);
+    world.endAttempt(0, AttemptResult::TimedOut, true);
+    BOOST_TEST_REQUIRE(world.open.size() == 1U);
+    BOOST_TEST(world.open[0].upstream != first.upstream);
+    world.arrive("POST", "/orders");
+    BOOST_TEST((world.open.at(1).firstByteTimeout == 1s)); // is not sent twice, so it gets all of its time
+}
+
+BOOST_AUTO_TEST_CASE(withoutAnyUpstreamRequestsAreRejectedAtOnce)
+{
+    Embedder world;
+    world.leaving = {"u1", "u2", "u3"};
+    world.handle(DrainsUpdated{base::Generation{1}, {{DrainKind::FailureDomain, "north-a"}}});
+    world.arrive("POST", "/orders");
+    BOOST_TEST_REQUIRE(world.rejects.size() == 1U);
+    BOOST_TEST((world.rejects[0].reason == RejectReason::NoUpstream));
+    BOOST_TEST((world.rejects[0].outcome == Outcome::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(brokenDownloadIsResumedElsewhere)
 {
     Embedder world;
