--- a/src/membership/fleet_test.cpp
+++ b/src/membership/fleet_test.cpp
@@ -233,6 +233,16 @@
     BOOST_TEST(fleet.agreeWithin(s_settled));
 }
 
+BOOST_AUTO_TEST_CASE(memberBehindAFaultyLinkIsProbedThroughOthers)
+{
+    Running fleet(0);
+    fleet.cutLink(0, 1);
+    const std::uint64_t before = fleet.nodes()[0].detector->counters().suspicions + fleet.nodes()[1].detector->counters().suspicions;
+    fleet.run(60s);
+    BOOST_TEST(fleet.nodes()[0].detector->counters().suspicions + fleet.nodes()[1].detector->counters().suspicions == before);
+    BOOST_TEST(fleet.agrees());
+}
+
 BOOST_AUTO_TEST_CASE(leavingIsAnnouncedAndNotTakenBack)
 {
     Running fleet(0);
--- a/src/membership/testing/fleet.cpp
+++ b/src/membership/testing/fleet.cpp
@@ -139,7 +139,7 @@
 
 std::optional<base::Duration> Fleet::travel(std::size_t from, std::size_t to)
 {
-    if (!connected(from, to) || base::uniformUnit(m_random) < m_options.loss) {
+    if (!connected(from, to) || m_cutLinks.contains(std::minmax(from, to)) || base::uniformUnit(m_random) < m_options.loss) {
         return std::nullopt;
     }
     const bool local = m_nodes[from].info.region == m_nodes[to].info.region;
--- a/src/membership/testing/fleet.hpp
+++ b/src/membership/testing/fleet.hpp
@@ -1,12 +1,15 @@
 // A fleet of nodes held in memory, with a network that loses, delays, duplicates and cuts, in virtual time.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "trefoilstile/base/random.hpp"
@@ -61,6 +64,12 @@
     void cutOffDomain(std::size_t domain);
     void heal();
 
+    /// Cuts the link between two nodes in both directions, for good.
+    void cutLink(std::size_t a, std::size_t b)
+    {
+        m_cutLinks.insert(std::minmax(a, b));
+    }
+
     void run(base::Duration span);
 
     base::TimePoint now() const
@@ -155,6 +164,7 @@
     std::priority_queue<Scheduled> m_queue;
     std::vector<FleetNode> m_nodes;
     std::vector<int> m_groups;
+    std::set<std::pair<std::size_t, std::size_t>> m_cutLinks;
     std::map<std::string, std::size_t, std::less<>> m_byAddress;
 };
 
