--- a/include/trefoilstile/admission/class_scheduler.hpp
+++ b/include/trefoilstile/admission/class_scheduler.hpp
@@ -26,7 +26,7 @@
     DeadlineTooShort, ///< the estimated wait is longer than the time left
 };
 
-/// Behaviour of a scheduler. Numbers not taken from the document were chosen with bench/policy.
+/// Behaviour of a scheduler. Numbers not taken from the document: see docs/measurements/policy.md.
 struct SchedulerOptions {
     base::PerClass<document::ClassPolicy> classes;
     base::PerClass<bool> used {{true, true, true}}; ///< some route gives the class; nothing is reserved for others
--- a/include/trefoilstile/upstream/concurrency_limit.hpp
+++ b/include/trefoilstile/upstream/concurrency_limit.hpp
@@ -11,7 +11,7 @@
 namespace trefoilstile::upstream
 {
 
-/// Behaviour of the limit. The numbers were chosen with bench/policy.
+/// Behaviour of the limit. The policy benchmark runs with these numbers; it has not varied them.
 struct LimitOptions {
     double timeoutFactor = 0.7; ///< limit after a timeout, rejection or failure
     double latencyFactor = 0.9; ///< limit after a response well above the baseline
--- a/include/trefoilstile/upstream/upstream_health.hpp
+++ b/include/trefoilstile/upstream/upstream_health.hpp
@@ -13,7 +13,7 @@
 namespace trefoilstile::upstream
 {
 
-/// Behaviour of the health view. The numbers were chosen with bench/policy.
+/// Behaviour of the health view. The policy benchmark runs with these numbers; it has not varied them.
 struct HealthOptions {
     std::uint32_t failuresToEject = 5; ///< failures in a row
     double failureRateToEject = 0.5; ///< of recent attempts, with at least `attemptsToJudge` of them
--- a/include/trefoilstile/upstream/upstream_set.hpp
+++ b/include/trefoilstile/upstream/upstream_set.hpp
@@ -50,7 +50,7 @@
 UpstreamSetConfig upstreamSetConfig(
     const document::SteeringDocument &document, const document::Service &service, std::string_view environment, std::string_view instance);
 
-/// Behaviour of a set.
+/// Behaviour of a set. The numbers that were varied are in docs/measurements/policy.md.
 struct UpstreamSetOptions {
     LimitOptions limit;
     HealthOptions health;
