--- a/src/peer/datagram_size_test.cpp
+++ b/src/peer/datagram_size_test.cpp
@@ -27,15 +27,15 @@
 
 MemberUpdate longUpdate(std::uint64_t number, std::uint64_t domain)
 {
-    MemberUpdate update {{~number}, {}, longInfo(number, domain)};
+    MemberUpdate update{{~number}, {}, longInfo(number, domain)};
     update.status = {1ULL << 62U, MemberState::Alive, 1ULL << 62U, true, {1ULL << 62U}, {1ULL << 62U}, ~0U};
     return update;
 }
 
 struct Encoder {
-    peer::EnvelopeCodec codec {{"a key of the trial environment", longText(0), longText(0), {~0ULL}}};
-    std::size_t count {};
-    std::size_t largest {};
+    peer::EnvelopeCodec codec{{"a key of the trial environment", longText(0), longText(0), {~0ULL}}};
+    std::size_t count{};
+    std::size_t largest{};
 
     void send(const Outgoing &outgoing)
     {
@@ -58,10 +58,10 @@
         GossipBody body;
         body.sender = longUpdate(number, number % 4);
         body.announcement = {{{1}, longText(5)}, {1}};
-        DomainSummary summary {longText(number % 4), longText(0), ~0U >> 1U, 1, 1, 1, body.announcement, ~0ULL >> 1U, {}, {}};
+        DomainSummary summary{longText(number % 4), longText(0), ~0U >> 1U, 1, 1, 1, body.announcement, ~0ULL >> 1U, {}, {}};
         summary.relays = {{{~number}, longText(number)}, {{number}, longText(number + 1)}};
         body.summaries.push_back(summary);
-        detector.receive(body.sender.incarnation, SummaryExchange {~number, {}, body}, now, sink);
+        detector.receive(body.sender.incarnation, SummaryExchange{~number, {}, body}, now, sink);
     }
     for (int tick = 0; tick < 200; ++tick, now += std::chrono::milliseconds(50)) {
         detector.tick(now, sink);
