--- a/include/trefoilstile/engine/service_state.hpp
+++ b/include/trefoilstile/engine/service_state.hpp
@@ -38,7 +38,7 @@
     std::size_t held = 0; ///< requests that refer to this state
     admission::ClassScheduler scheduler;
     upstream::UpstreamSet upstreams;
-    upstream::PowerOfTwoChoices selection;
+    upstream::DefaultSelection selection; ///< the best by docs/measurements/policy.md
     retry::RetryBudget budget;
     retry::RetryPolicy retryPolicy;
     std::vector<upstream::DomainIndex> domains; ///< of the own region, in order of preference
--- a/src/engine/attempts.cpp
+++ b/src/engine/attempts.cpp
@@ -101,12 +101,12 @@
 }
 
 /// Time for one attempt. A request that may be retried keeps half of its time for an upstream that responds: otherwise one
-/// that accepts and stays silent would take all of it.
+/// that accepts and stays silent would take all of it. The same holds for an attempt that probes an ejected upstream.
 base::Duration Engine::firstByteTimeout(const HeldRequest &request, base::TimePoint now) const
 {
     const base::Duration left = request.deadline - now;
     const bool mayRetry = request.idempotent && !request.responseStarted && request.attempts < request.service->settings.retry.maximumAttempts;
-    return mayRetry ? std::max(left / 2, s_leastAttemptTime) : left;
+    return mayRetry || request.choice.probe ? std::max(left / 2, s_leastAttemptTime) : left;
 }
 
 void Engine::sendAttempt(HeldRequest &request, bool resume, base::TimePoint now)
--- a/src/engine/regions.cpp
+++ b/src/engine/regions.cpp
@@ -58,7 +58,8 @@
 bool Engine::canStart(const HeldRequest &request, base::TimePoint now)
 {
     ServiceState &service = *request.service;
-    if (service.upstreams.canChoose(choiceRequest(request, service.domains, false), now)) {
+    const bool beyondLimit = request.priorityClass == base::PriorityClass::Urgent; // the scheduler may start it above the slots
+    if (service.upstreams.canChoose(choiceRequest(request, service.domains, beyondLimit), now)) {
         return true;
     }
     return std::any_of(service.remotes.begin(), service.remotes.end(), [&](const RemoteRegion &remote) {
