--- a/include/trefoilstile/admission/class_scheduler.hpp
+++ b/include/trefoilstile/admission/class_scheduler.hpp
@@ -103,7 +103,8 @@
     /// byte of the response or to the end without one.
     void finished(base::PriorityClass priorityClass, base::Duration held, base::Duration firstByte);
 
-    /// A request from `next` was not sent; the slot is free and the estimates do not change.
+    /// A request from `next` was not sent, or its attempt failed. The slot is free and the estimates do not change, since a
+    /// failure says nothing about how long the work takes.
     void cancelled(base::PriorityClass priorityClass);
 
     /// Estimated time until a request that is offered now would start.
