--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -110,7 +110,7 @@
     const auto &results = boost::unit_test::results_collector.results(boost::unit_test::framework::current_test_case().p_id);
     if (!results.passed()) {
         for (const auto &running : instances) {
-            BOOST_TEST_MESSAGE("log of " << running->name << ":\n" << running->program->log());
+            BOOST_TEST_MESSAGE("log of " << running->name << (running->program->running() ? "" : ", which has ended") << ":\n" << running->program->log());
         }
     }
 }
@@ -237,15 +237,10 @@
     return ctl({"promote", "--from", "trial", "--to", "production"}, "production", waitMs);
 }
 
-void Fleet::apply(const std::string &document)
-{
-    const CtlResult promoted = submit(document);
-    BOOST_REQUIRE_MESSAGE(promoted.status == 0, promoted.text);
-}
-
 void Fleet::apply(const DocumentOptions &options)
 {
-    apply(document(options));
+    const CtlResult promoted = submit(document(options));
+    BOOST_REQUIRE_MESSAGE(promoted.status == 0, promoted.text);
 }
 
 CtlResult Fleet::ctl(const std::vector<std::string> &arguments, const std::string &environment, const std::string &waitMs)
--- a/tests/process/fleet.hpp
+++ b/tests/process/fleet.hpp
@@ -84,7 +84,6 @@
     CtlResult submit(const std::string &document, const std::string &waitMs = "60000");
 
     /// The same, and requires that it is in effect everywhere.
-    void apply(const std::string &document);
     void apply(const DocumentOptions &options = {});
 
     /// Runs trefoilctl with the platform and the operator ports of all instances in the environment.
