Do not report a change as in effect when the store is behind

Cause: trefoilctl counted any generation that is not lower than the submitted one as in effect. After the store lost data or was restored from a backup, its row is below the instances; they ignore the generation after the row's, and the tool still ended with status 0. The same held for drain lists. Ruled out: comparing hashes only, since member lists and drains have none; another read of the row before each submission, since the result of the write carries the generation that it replaced; the alarm document_regressed as the sign, since member lists do not carry alarms. After: an instance counts only with the submitted generation (and hash, where its port was asked), or with a higher one that the row, read again after the poll, has reached; otherwise status 3 with `store_behind` or `row_error`. Before a submission the ports are asked for the highest generation in effect, and the submission takes one above it and above the row's; the output says so. An unchanged drain list is written again if its row is below the instances. Changed tests: the two store properties asserted that generations go up by exactly one. They now assert that each is one above the greater of the row's and the one known in effect, hence exactly one more without such knowledge. completeOnlyIfAllHaveIt draws the row's generation. The fake instance of the command tests had generation 100 throughout, which is the fault itself; it now follows the store. Conclusion: status 0 now means that the instances have the change or a later one that the store has. An undrain of a name that the restored row lacks is still rejected; it needs a drain of that name first.

--- a/include/trefoilstile/ctl/effect.hpp
+++ b/include/trefoilstile/ctl/effect.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,11 +21,20 @@
 
     Kind kind = Kind::Document;
     std::string environment;
-    base::Generation generation; ///< a higher one in effect counts as well, since it replaces this one
+    base::Generation generation;
     std::string hash; ///< of the document; empty for drains
     std::vector<std::string> requiredDomains; ///< failure domains that must have an instance
 };
 
+/// What the store has for the environment.
+struct RowState {
+    std::optional<base::Generation> generation; ///< 0 if there is no row; nothing if it could not be read
+    std::string error; ///< why it could not be read
+};
+
+/// Reads the row of the change's kind.
+using RowReader = std::function<RowState()>;
+
 struct DomainEffect {
     std::string name;
     std::size_t instances{};
@@ -39,12 +50,18 @@
     std::vector<DomainEffect> domains; ///< sorted by name
     std::vector<PortView> unreachablePorts;
     std::vector<std::string> conflictingHashes; ///< instances that have another document under the same generation
+    std::vector<std::string> ahead; ///< instances that have a higher generation which the row is not known to have reached
+    RowState row; ///< read only if some instance has a higher generation than the target
     bool complete = false; ///< in effect on every known instance, every port asked, every required domain reached
 };
 
 /// Merges what the ports say. Instances that left as planned do not count, nor do dead ones that have been replaced under
-/// the same name.
-EffectReport evaluateEffect(const std::vector<PortView> &views, const EffectTarget &target);
+/// the same name. An instance with a higher generation has the change, or a later one, only if the row has reached that
+/// generation; otherwise the store lost data and the instance ignores the change.
+EffectReport evaluateEffect(const std::vector<PortView> &views, const EffectTarget &target, const RowState &row = {});
+
+/// Highest generation of the target's kind that any port reports of its instance or of a member; 0 if none does.
+base::Generation highestGeneration(const std::vector<PortView> &views, EffectTarget::Kind kind);
 
 /// Time as commands use it.
 class Pacer
@@ -62,7 +79,7 @@
 };
 
 /// Polls the ports until the change is in effect everywhere or the deadline has passed; at least once.
-EffectReport waitUntilInEffect(OperatorPorts &ports, Pacer &pacer, const EffectTarget &target, base::TimePoint deadline);
+EffectReport waitUntilInEffect(OperatorPorts &ports, Pacer &pacer, const EffectTarget &target, base::TimePoint deadline, const RowReader &readRow);
 
 /// Adds the state of each failure domain and what could not be reached.
 void describe(const EffectReport &effect, Report &report);
--- a/include/trefoilstile/platform/document_store.hpp
+++ b/include/trefoilstile/platform/document_store.hpp
@@ -45,9 +45,10 @@
     std::string bytes(std::string_view hash, const Call &call = {});
 
     /// Submits a document: reads the row, stores the object, then writes the row on the condition that it has not
-    /// changed. A submission that is already in the row's history is reported as accepted.
+    /// changed. A submission that is already in the row's history is reported as accepted. The generation is the one after
+    /// the row's, or after `highestInEffect` (the highest one known to be in effect on instances) if that is higher.
     /// @throws MalformedData, Unavailable; in both cases the document was not and will not be accepted
-    SubmitResult submit(const Submission &submission, const Call &call = {});
+    SubmitResult submit(const Submission &submission, base::Generation highestInEffect = {}, const Call &call = {});
 
 private:
     Store *m_store;
--- a/include/trefoilstile/platform/drain_store.hpp
+++ b/include/trefoilstile/platform/drain_store.hpp
@@ -40,7 +40,8 @@
 /// The change is in the list.
 struct DrainApplied {
     base::Generation generation; ///< first known generation that has it
-    bool changed = true; ///< false if the list was already so
+    bool changed = true; ///< false if the list was already so and no generation was made
+    base::Generation previous{}; ///< of the row that was replaced, if one was
 };
 
 using DrainResult = std::variant<DrainApplied, Unsettled>;
@@ -55,9 +56,12 @@
     DrainRow row(std::string_view environment, const Call &call = {});
 
     /// Reads the list, changes it and writes it if it has not been changed meanwhile; starts anew if it has. Changes of
-    /// other operators are kept.
+    /// other operators are kept. The generation is the one after the row's, or after `highestInEffect` (the highest one
+    /// known to be in effect on instances) if that is higher. A list that is already so is written again only if the
+    /// row's generation is below `highestInEffect`, since the instances ignore such a row.
     /// @throws MalformedData, Unavailable; in both cases the change was not and will not be made
-    DrainResult change(std::string_view environment, const DrainChange &change, std::string_view submission, const Call &call = {});
+    DrainResult change(
+        std::string_view environment, const DrainChange &change, std::string_view submission, base::Generation highestInEffect = {}, const Call &call = {});
 
 private:
     Store *m_store;
--- a/include/trefoilstile/platform/submission.hpp
+++ b/include/trefoilstile/platform/submission.hpp
@@ -34,18 +34,20 @@
     std::string key;
     std::uint64_t ifVersion{}; ///< the write can take effect only on this version
     std::string value;
-    base::Generation generation; ///< that the write makes
+    base::Generation previous; ///< of the row that the write replaces; 0 if there is none
+    base::Generation generation; ///< that the write makes; above `previous`, not always by one
     std::string submission;
 };
 
 /// The submission has become the given generation.
 struct Accepted {
     base::Generation generation;
+    base::Generation previous; ///< of the row that it replaced; 0 if there was none
 };
 
 /// The submission did not and will not take effect.
 struct LostRace {
-    HistoryEntry winner; ///< what became the generation that was wanted
+    HistoryEntry winner; ///< what became the generation that was wanted, or else what replaced the row first
     Row row; ///< the row as it stood
 };
 
@@ -57,6 +59,12 @@
 
 using SubmitResult = std::variant<Accepted, LostRace, Unsettled>;
 
+/// Generation of a new submission: above the row's and above the highest one known to be in effect on instances, which
+/// ignore everything that is not higher. Normally that is the one after the row's; only a store that lost data or was
+/// restored from a backup has a row below the instances.
+/// @throws MalformedData if there is no higher generation
+base::Generation nextGeneration(base::Generation row, base::Generation highestInEffect);
+
 /// Makes the write and settles it if the answer is lost.
 /// @throws Unavailable if the write certainly did not and will not take effect.
 SubmitResult submitWrite(Store &store, PendingWrite pending, const Call &call);
--- a/src/ctl/command_support.hpp
+++ b/src/ctl/command_support.hpp
@@ -1,6 +1,7 @@
 // Steps that several commands share.
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,9 @@
 namespace trefoilstile::ctl
 {
 
+/// Limit for one poll of one operator port before a submission.
+inline constexpr base::Duration s_submissionPollLimit = std::chrono::seconds(1);
+
 /// Report with the command's name in the JSON.
 Report newReport(std::string_view command);
 
@@ -28,6 +32,9 @@
 /// Failure domains that must have an instance in the environment: in production those of the document.
 std::vector<std::string> requiredDomains(const Context &context, std::string_view environment, const document::SteeringDocument &document);
 
+/// Says that a submission skipped generations, and why; nothing if it did not.
+void noteRaisedGeneration(Report &report, base::Generation previous, base::Generation generation, base::Generation highestInEffect);
+
 /// Waits for the change and ends the report accordingly.
 Report concludeWhenInEffect(Context &context, Report report, const EffectTarget &target, base::TimePoint deadline);
 
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -24,6 +24,19 @@
 /// Limit for the response of an operator port.
 constexpr base::Duration s_portLimit = std::chrono::seconds(2);
 
+RowState readRow(platform::Store &store, const EffectTarget &target)
+{
+    try {
+        if (target.kind == EffectTarget::Kind::Drains) {
+            return {platform::DrainStore(store).row(target.environment).generation, {}};
+        }
+        const std::optional<platform::DocumentRow> row = platform::DocumentStore(store).row(target.environment);
+        return {row ? row->generation : base::Generation{}, {}};
+    } catch (const platform::PlatformError &error) {
+        return {std::nullopt, error.what()};
+    }
+}
+
 void describeStatus(const PortView &view, Report &report)
 {
     if (!view.status) {
@@ -127,6 +140,20 @@
     return names;
 }
 
+void noteRaisedGeneration(Report &report, base::Generation previous, base::Generation generation, base::Generation highestInEffect)
+{
+    if (generation.value <= previous.value + 1) {
+        return;
+    }
+    report.json["generation_raised"] = {{"row_generation", previous.value}, {"in_effect", highestInEffect.value}};
+    report.say(fmt::format("generation raised from {} to {}: the store's row had generation {}, but generation {} is in effect on instances, which "
+                           "ignore lower ones; the store has lost data or was restored from a backup",
+        previous.value + 1,
+        generation.value,
+        previous.value,
+        highestInEffect.value));
+}
+
 Report concludeWhenInEffect(Context &context, Report report, const EffectTarget &target, base::TimePoint deadline)
 {
     if (context.ports.count() == 0) {
@@ -134,7 +161,9 @@
         report.conclude(ExitStatus::Unknown, "accepted");
         return report;
     }
-    const EffectReport effect = waitUntilInEffect(context.ports, context.pacer, target, deadline);
+    const EffectReport effect = waitUntilInEffect(context.ports, context.pacer, target, deadline, [&] {
+        return readRow(context.store, target);
+    });
     if (effect.complete) {
         report.say("in effect on all known instances");
         report.conclude(ExitStatus::Done, "in_effect");
--- a/src/ctl/commands_test.cpp
+++ b/src/ctl/commands_test.cpp
@@ -2,7 +2,12 @@
 
 #include "trefoilstile/ctl/commands.hpp"
 
+#include <algorithm>
+#include <optional>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "../platform/fake_store.hpp"
 #include "fakes.hpp"
@@ -56,17 +61,64 @@
 
     Fixture()
     {
-        report("trial", 100);
+        follow("trial");
     }
 
-    /// One instance that has the given generations of everything.
+    /// One instance that has the given generations of everything, and stays so.
     void report(const std::string &environment, std::uint64_t generation)
     {
         FakeInstance instance{"e1", "north-a", generation, generation};
         instance.environment = environment;
+        answerAs(instance);
+        ports.afterRound = nullptr;
+    }
+
+    /// One instance that takes up what is in the store after each round of requests.
+    void follow(const std::string &environment, const std::string &domain = "north-a")
+    {
+        FakeInstance instance{"e1", domain};
+        instance.environment = environment;
+        ports.afterRound = [this, instance]() mutable {
+            takeUp(instance);
+        };
+        ports.afterRound();
+    }
+
+    /// Moves an instance to what is in the store, if that is higher, and answers as it.
+    void takeUp(FakeInstance &instance)
+    {
+        const auto documentRow = newest("documents/" + instance.environment);
+        if (documentRow && documentRow->at("generation").get<std::uint64_t>() > instance.generation) {
+            instance.generation = documentRow->at("generation").get<std::uint64_t>();
+            instance.hash = documentRow->at("hash").get<std::string>();
+        }
+        const auto drainRow = newest("drains/" + instance.environment);
+        if (drainRow) {
+            instance.drainGeneration = std::max(instance.drainGeneration, drainRow->at("generation").get<std::uint64_t>());
+        }
+        answerAs(instance);
+    }
+
+    void answerAs(const FakeInstance &instance)
+    {
         ports.answers = {{"127.0.0.1:1", 200, statusJson(instance, {instance})}};
     }
 
+    /// Value last written to a row, whatever faults the store has in wait.
+    std::optional<nlohmann::json> newest(const std::string &path) const
+    {
+        const auto values = store.log.find(path);
+        return values == store.log.end() ? std::nullopt : std::optional(nlohmann::json::parse(values->second.back()));
+    }
+
+    /// Changes as an operator without ports makes them.
+    void acceptInStore(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            platform::DocumentStore(store).submit({"trial", "earlier" + std::to_string(++submissions), s_document, ""});
+        }
+    }
+
     ExitStatus drain(platform::DrainChange::Action action, engine::DrainKind kind, const std::string &name)
     {
         return changeDrain(context, "trial", {action, {kind, name}}).status;
@@ -137,7 +189,7 @@
 {
     BOOST_TEST(promote(context, "trial", "production", {}).status == ExitStatus::Rejected);
     apply(context, "trial", s_document, "f");
-    report("production", 100);
+    follow("production");
     BOOST_TEST(promote(context, "trial", "production", std::string(64, '0')).status == ExitStatus::Rejected);
     const std::string hash = document::contentHash(s_document);
     BOOST_TEST(promote(context, "trial", "production", hash).status == ExitStatus::Done);
@@ -153,9 +205,7 @@
 BOOST_AUTO_TEST_CASE(promoteWaitsForEveryDomain)
 {
     apply(context, "trial", s_document, "f");
-    FakeInstance elsewhere{"e1", "south-a", 100};
-    elsewhere.environment = "production";
-    ports.answers = {{"127.0.0.1:1", 200, statusJson(elsewhere, {})}};
+    follow("production", "south-a");
     const Report report = promote(context, "trial", "production", {});
     BOOST_TEST(report.status == ExitStatus::Unknown);
     BOOST_TEST(report.json["unreachable_failure_domains"][0] == "north-a");
@@ -198,6 +248,120 @@
     BOOST_TEST(drain(s_add, engine::DrainKind::Upstream, "shop-1") == ExitStatus::Unknown);
 }
 
+// A store that lost data has a lower generation than the instances, which ignore what is submitted to it. Saying "in
+// effect" would leave the operator with the old document everywhere.
+BOOST_AUTO_TEST_CASE(storeBehindTheInstances)
+{
+    acceptInStore(3);
+    FakeInstance ahead{"e1", "north-a", 7, 7};
+    const auto reachableLater = [&] {
+        ports.answers = {{"127.0.0.1:1", 0, "refused"}};
+        ports.afterRound = [&] {
+            answerAs(ahead);
+        };
+    };
+    reachableLater();
+    const Report applied = apply(context, "trial", s_document, "f");
+    BOOST_TEST(applied.status == ExitStatus::Unknown);
+    BOOST_TEST(applied.json["generation"] == 4);
+    BOOST_TEST(applied.json["store_behind"]["row_generation"] == 4);
+    BOOST_TEST(applied.json["store_behind"]["instances"][0] == "e1");
+
+    reachableLater();
+    const Report drained = changeDrain(context, "trial", {s_add, {engine::DrainKind::Region, "north"}});
+    BOOST_TEST(drained.status == ExitStatus::Unknown);
+    BOOST_TEST(drained.json["store_behind"]["row_generation"] == 1);
+
+    ahead.environment = "production";
+    reachableLater();
+    const Report promoted = promote(context, "trial", "production", {});
+    BOOST_TEST(promoted.status == ExitStatus::Unknown);
+    BOOST_TEST(promoted.json["store_behind"]["row_generation"] == 1);
+}
+
+// A later submission that replaced ours counts as our success, but only the store's row can show that there is one.
+BOOST_AUTO_TEST_CASE(higherGenerationNeedsTheRow)
+{
+    const auto replacedAfterSubmission = [&](std::size_t readFaults) {
+        ports.answers = {{"127.0.0.1:1", 0, "refused"}};
+        ports.afterRound = [this, readFaults, rounds = 0]() mutable {
+            // The second round is the first one after the submission.
+            if (++rounds == 2) {
+                acceptInStore(1);
+                answerAs({"e1", "north-a", newest("documents/trial")->at("generation").get<std::uint64_t>()});
+                store.faults.assign(readFaults, Fault::Outage);
+            }
+        };
+    };
+    replacedAfterSubmission(0);
+    BOOST_TEST(apply(context, "trial", s_document, "f").status == ExitStatus::Done);
+    replacedAfterSubmission(1000);
+    const Report unreadable = apply(context, "trial", s_document, "f");
+    BOOST_TEST(unreadable.status == ExitStatus::Unknown);
+    BOOST_TEST(unreadable.json["store_behind"].is_null());
+    BOOST_TEST(unreadable.json["row_error"] == "outage");
+}
+
+// Submitting the generation after the row's would never come into effect, however often the operator tries.
+BOOST_AUTO_TEST_CASE(generationIsRaisedAboveTheInstances)
+{
+    acceptInStore(3);
+    const auto instancesHave = [&](const std::string &environment, std::uint64_t generation) {
+        // The highest generation is known only of a member, not of the instance whose port is asked.
+        FakeInstance asked{"e1", "north-a", 1, 1};
+        asked.environment = environment;
+        FakeInstance member{"e2", "north-a", generation, generation};
+        member.environment = environment;
+        ports.answers = {{"127.0.0.1:1", 200, statusJson(asked, {member})}};
+        ports.afterRound = [this, member]() mutable {
+            takeUp(member);
+        };
+    };
+    instancesHave("trial", 7);
+    const Report applied = apply(context, "trial", s_document, "f");
+    BOOST_TEST(applied.status == ExitStatus::Done);
+    BOOST_TEST(applied.json["generation"] == 8);
+    BOOST_TEST(applied.json["generation_raised"]["row_generation"] == 3);
+    BOOST_TEST(applied.json["generation_raised"]["in_effect"] == 7);
+    BOOST_TEST(applied.json["messages"].dump().find("raised from 4 to 8") != std::string::npos);
+    const Report next = apply(context, "trial", s_document, "f");
+    BOOST_TEST(next.json["generation"] == 9);
+    BOOST_TEST(!next.json.contains("generation_raised"));
+
+    instancesHave("trial", 20);
+    const Report drained = changeDrain(context, "trial", {s_add, {engine::DrainKind::Region, "north"}});
+    BOOST_TEST(drained.status == ExitStatus::Done);
+    BOOST_TEST(drained.json["drain_generation"] == 21);
+    BOOST_TEST(drained.json["generation_raised"]["row_generation"] == 0);
+
+    // The row has the drain already, but in a generation that the instances ignore.
+    instancesHave("trial", 30);
+    const Report repeated = changeDrain(context, "trial", {s_add, {engine::DrainKind::Region, "north"}});
+    BOOST_TEST(repeated.status == ExitStatus::Done);
+    BOOST_TEST(repeated.json["drain_generation"] == 31);
+
+    instancesHave("production", 40);
+    const Report promoted = promote(context, "trial", "production", {});
+    BOOST_TEST(promoted.status == ExitStatus::Done);
+    BOOST_TEST(promoted.json["generation"] == 41);
+    BOOST_TEST(promoted.json["generation_raised"]["row_generation"] == 0);
+}
+
+// Instances of another environment say nothing about this one's generations.
+BOOST_AUTO_TEST_CASE(nothingIsRaisedWithoutReachablePorts)
+{
+    acceptInStore(3);
+    report("other", 100);
+    const Report foreign = apply(context, "trial", s_document, "f");
+    BOOST_TEST(foreign.status == ExitStatus::Unknown);
+    BOOST_TEST(foreign.json["generation"] == 4);
+    BOOST_TEST(!foreign.json.contains("generation_raised"));
+    ports.answers = {{"127.0.0.1:1", 0, "refused"}};
+    BOOST_TEST(apply(context, "trial", s_document, "f").json["generation"] == 5);
+    ports.answers.clear();
+    BOOST_TEST(apply(context, "trial", s_document, "f").json["generation"] == 6);
+}
+
 BOOST_AUTO_TEST_CASE(readingCommands)
 {
     BOOST_TEST(history(context, "trial").status == ExitStatus::Done);
--- a/src/ctl/drain_command.cpp
+++ b/src/ctl/drain_command.cpp
@@ -19,9 +19,6 @@
 using Names = std::set<std::string>;
 using platform::DrainChange;
 
-/// Limit for one poll of one operator port.
-constexpr base::Duration s_pollLimit = std::chrono::seconds(1);
-
 std::optional<document::SteeringDocument> documentInEffect(Context &context, std::string_view environment)
 {
     platform::DocumentStore documents(context.store);
@@ -55,10 +52,10 @@
     return names;
 }
 
-Names entryNames(Context &context, std::string_view environment)
+Names entryNames(const std::vector<PortView> &views)
 {
     Names names;
-    for (const PortView &view : pollStatus(context.ports, environment, s_pollLimit)) {
+    for (const PortView &view : views) {
         if (!view.status) {
             continue;
         }
@@ -82,14 +79,18 @@
 }
 
 /// Names that the change may have: known ones for a drain, drained ones for an undrain.
-Names allowedNames(Context &context, std::string_view environment, const DrainChange &change, const std::optional<document::SteeringDocument> &document)
+Names allowedNames(Context &context,
+    std::string_view environment,
+    const DrainChange &change,
+    const std::optional<document::SteeringDocument> &document,
+    const std::vector<PortView> &views)
 {
     const engine::DrainKind kind = change.drain.kind;
     if (change.action == DrainChange::Action::Remove) {
         return drainedNames(context, environment, kind);
     }
     if (kind == engine::DrainKind::Entry) {
-        return entryNames(context, environment);
+        return entryNames(views);
     }
     return document ? namesInDocument(*document, kind) : Names();
 }
@@ -109,18 +110,22 @@
 }
 
 /// Makes the change, starting anew when a lost answer turns out to be a lost race.
-platform::DrainResult makeChange(
-    Context &context, std::string_view environment, const DrainChange &change, const std::string &submission, base::TimePoint deadline)
+platform::DrainResult makeChange(Context &context,
+    std::string_view environment,
+    const DrainChange &change,
+    const std::string &submission,
+    base::Generation highestInEffect,
+    base::TimePoint deadline)
 {
     for (;;) {
-        platform::DrainResult result = platform::DrainStore(context.store).change(environment, change, submission);
+        platform::DrainResult result = platform::DrainStore(context.store).change(environment, change, submission, highestInEffect);
         auto *unsettled = std::get_if<platform::Unsettled>(&result);
         if (unsettled == nullptr) {
             return result;
         }
         platform::SubmitResult settled = settleUntil(context, std::move(*unsettled), deadline);
         if (const auto *accepted = std::get_if<platform::Accepted>(&settled)) {
-            return platform::DrainApplied{accepted->generation};
+            return platform::DrainApplied{accepted->generation, true, accepted->previous};
         }
         if (auto *stillUnsettled = std::get_if<platform::Unsettled>(&settled)) {
             return std::move(*stillUnsettled);
@@ -133,6 +138,10 @@
 Report changeDrain(Context &context, std::string_view environment, const DrainChange &change)
 {
     const bool adds = change.action == DrainChange::Action::Add;
+    // Asked before the row is read, so that the row of a sound store is at least as high. Ports that hang do not use up
+    // the time for settling the write.
+    const std::vector<PortView> views = pollStatus(context.ports, environment, s_submissionPollLimit);
+    const base::Generation highestInEffect = highestGeneration(views, EffectTarget::Kind::Drains);
     const base::TimePoint deadline = context.pacer.now() + context.wait;
     const std::string submission = context.newSubmissionId();
     Report report = newReport(adds ? "drain" : "undrain");
@@ -144,11 +153,11 @@
     std::optional<platform::DrainResult> result;
     try {
         document = documentInEffect(context, environment);
-        const Names allowed = allowedNames(context, environment, change, document);
+        const Names allowed = allowedNames(context, environment, change, document, views);
         if (!allowed.contains(change.drain.name)) {
             return rejectedName(std::move(report), change, allowed);
         }
-        result = makeChange(context, environment, change, submission, deadline);
+        result = makeChange(context, environment, change, submission, highestInEffect, deadline);
     } catch (const base::Error &error) {
         return rejected(std::move(report), fmt::format("not changed: {}", error.what()));
     }
@@ -164,6 +173,9 @@
         applied.changed ? (adds ? "is drained" : "is no longer drained") : (adds ? "was drained before" : "was not drained"),
         environment,
         applied.generation.value));
+    if (applied.changed) {
+        noteRaisedGeneration(report, applied.previous, applied.generation, highestInEffect);
+    }
     EffectTarget target{EffectTarget::Kind::Drains, std::string(environment), applied.generation, {}, {}};
     if (document) {
         target.requiredDomains = requiredDomains(context, environment, *document);
--- a/src/ctl/effect.cpp
+++ b/src/ctl/effect.cpp
@@ -62,10 +62,24 @@
     return instances;
 }
 
-bool hasTarget(const KnownInstance &instance, const EffectTarget &target)
+base::Generation generationOf(const MemberStatus &member, EffectTarget::Kind kind)
 {
-    const bool isDocument = target.kind == EffectTarget::Kind::Document;
-    return !instance.conflictingHash && (isDocument ? instance.status.generation : instance.status.drainGeneration) >= target.generation;
+    return kind == EffectTarget::Kind::Document ? member.generation : member.drainGeneration;
+}
+
+bool isAhead(const KnownInstance &instance, const EffectTarget &target, const RowState &row)
+{
+    const base::Generation generation = generationOf(instance.status, target.kind);
+    return generation > target.generation && (!row.generation || generation > *row.generation);
+}
+
+bool hasTarget(const KnownInstance &instance, const EffectTarget &target, const RowState &row)
+{
+    const base::Generation generation = generationOf(instance.status, target.kind);
+    if (generation == target.generation) {
+        return !instance.conflictingHash;
+    }
+    return generation > target.generation && !isAhead(instance, target, row);
 }
 
 void count(DomainEffect &domain, const KnownInstance &instance, bool inEffect)
@@ -114,9 +128,10 @@
 
 } // namespace
 
-EffectReport evaluateEffect(const std::vector<PortView> &views, const EffectTarget &target)
+EffectReport evaluateEffect(const std::vector<PortView> &views, const EffectTarget &target, const RowState &row)
 {
     EffectReport report;
+    report.row = row;
     std::copy_if(views.begin(), views.end(), std::back_inserter(report.unreachablePorts), [](const PortView &view) {
         return !view.status;
     });
@@ -134,7 +149,10 @@
     for (const auto &[key, instance] : instances) {
         const bool gone = !instance.status.alive && (instance.status.leaving || aliveNames.contains(instance.status.name));
         if (!gone) {
-            count(domains[instance.status.failureDomain], instance, hasTarget(instance, target));
+            count(domains[instance.status.failureDomain], instance, hasTarget(instance, target, row));
+            if (isAhead(instance, target, row)) {
+                report.ahead.push_back(instance.status.name);
+            }
         }
         if (instance.conflictingHash) {
             report.conflictingHashes.push_back(instance.status.name);
@@ -148,10 +166,30 @@
     return report;
 }
 
-EffectReport waitUntilInEffect(OperatorPorts &ports, Pacer &pacer, const EffectTarget &target, base::TimePoint deadline)
+base::Generation highestGeneration(const std::vector<PortView> &views, EffectTarget::Kind kind)
+{
+    base::Generation highest;
+    for (const PortView &view : views) {
+        if (!view.status) {
+            continue;
+        }
+        highest = std::max(highest, generationOf(view.status->self, kind));
+        for (const MemberStatus &member : view.status->members) {
+            highest = std::max(highest, generationOf(member, kind));
+        }
+    }
+    return highest;
+}
+
+EffectReport waitUntilInEffect(OperatorPorts &ports, Pacer &pacer, const EffectTarget &target, base::TimePoint deadline, const RowReader &readRow)
 {
     for (;;) {
-        EffectReport report = evaluateEffect(pollStatus(ports, target.environment, s_pollLimit), target);
+        const std::vector<PortView> views = pollStatus(ports, target.environment, s_pollLimit);
+        EffectReport report = evaluateEffect(views, target);
+        if (!report.ahead.empty()) {
+            // Read after the poll: the row of a sound store is then at least as high as what the instances had.
+            report = evaluateEffect(views, target, readRow());
+        }
         const base::TimePoint now = pacer.now();
         if (report.complete || now >= deadline) {
             return report;
@@ -180,6 +218,17 @@
     if (!unreachable.empty()) {
         report.lines.push_back(fmt::format("failure domains that cannot be reached: {}", fmt::join(unreachable, ", ")));
     }
+    if (!effect.ahead.empty() && effect.row.generation) {
+        report.json["store_behind"] = {{"row_generation", effect.row.generation->value}, {"instances", effect.ahead}};
+        report.say(fmt::format("the store is behind the instances: its row has generation {}, a higher one is in effect on {}, which ignore the row; "
+                               "the store has lost data or was restored from a backup; submit again with an operator port that reports their generation",
+            effect.row.generation->value,
+            fmt::join(effect.ahead, ", ")));
+    } else if (!effect.ahead.empty()) {
+        report.json["row_error"] = effect.row.error;
+        report.say(fmt::format(
+            "a higher generation is in effect on {}, and the store's row could not be read again: {}", fmt::join(effect.ahead, ", "), effect.row.error));
+    }
     if (!effect.conflictingHashes.empty()) {
         report.json["conflicting_hashes"] = effect.conflictingHashes;
         report.lines.push_back(fmt::format("another document under the same generation on: {}", fmt::join(effect.conflictingHashes, ", ")));
--- a/src/ctl/effect_test.cpp
+++ b/src/ctl/effect_test.cpp
@@ -7,11 +7,12 @@
 
 #include "fakes.hpp"
 
+using namespace trefoilstile;
 using namespace trefoilstile::ctl;
-using testing::FakeInstance;
-using testing::FakePacer;
-using testing::FakePorts;
-using testing::statusJson;
+using ctl::testing::FakeInstance;
+using ctl::testing::FakePacer;
+using ctl::testing::FakePorts;
+using ctl::testing::statusJson;
 using namespace std::chrono_literals;
 
 namespace
@@ -28,21 +29,24 @@
 
 BOOST_AUTO_TEST_SUITE(Effects)
 
-// Complete exactly if every instance that any port names, and that has not left, is known to have the generation.
-RC_BOOST_PROP(completeOnlyIfAllHaveIt, (const std::vector<std::tuple<std::uint8_t, bool, bool>> &states, bool portFails))
+// Complete exactly if every instance that any port names, and that has not left, is known to have the generation, or a
+// higher one that the row has reached as well.
+RC_BOOST_PROP(completeOnlyIfAllHaveIt, (const std::vector<std::tuple<std::uint8_t, bool, bool>> &states, std::uint8_t rowGeneration, bool portFails))
 {
+    const RowState row{base::Generation{rowGeneration % 8U}, {}};
     std::vector<FakeInstance> members;
     bool all = !portFails;
     for (const auto &[generation, alive, leaving] : states) {
         const std::string name = "e" + std::to_string(members.size());
         members.push_back({name, "d" + std::to_string(generation % 3), generation % 8U, 0, alive, leaving});
-        all = all && (generation % 8U >= 5 || (!alive && leaving));
+        const std::uint64_t has = generation % 8U;
+        all = all && (has == 5 || (has > 5 && has <= row.generation->value) || (!alive && leaving));
     }
     std::vector<PortView> views{view({"self", "d0", 5, 0, true, false, "0000000000000001", "h"}, members)};
     if (portFails) {
         views.push_back({"127.0.0.1:2", std::nullopt, "refused"});
     }
-    RC_ASSERT(evaluateEffect(views, s_target).complete == all);
+    RC_ASSERT(evaluateEffect(views, s_target, row).complete == all);
 }
 
 // Two ports on the two sides of a partition: what one of them sees of the other side is not enough.
@@ -86,6 +90,30 @@
     BOOST_TEST(evaluateEffect({view(renewed, {renewed, old})}, s_target).complete);
 }
 
+// A higher generation shows that the change was replaced only if the row has it; otherwise the store lost data and the
+// instance never takes the change up. The same holds for drains.
+BOOST_AUTO_TEST_CASE(higherGenerationsNeedTheRow)
+{
+    const FakeInstance here{"e1", "a", 5, 5, true, false, "0000000000000001", "h"};
+    const FakeInstance higher{"e2", "a", 7, 7};
+    for (const auto kind : {EffectTarget::Kind::Document, EffectTarget::Kind::Drains}) {
+        EffectTarget target = s_target;
+        target.kind = kind;
+        const auto evaluate = [&](const RowState &row) {
+            return evaluateEffect({view(here, {here, higher})}, target, row);
+        };
+        BOOST_TEST(evaluate({base::Generation{7}, {}}).complete);
+        BOOST_TEST(evaluate({base::Generation{7}, {}}).ahead.empty());
+        for (const RowState &row : {RowState{base::Generation{6}, {}}, RowState{base::Generation{0}, {}}, RowState{{}, "outage"}}) {
+            const EffectReport report = evaluate(row);
+            BOOST_TEST(!report.complete);
+            BOOST_TEST(report.ahead == std::vector<std::string>{"e2"}, boost::test_tools::per_element());
+            BOOST_TEST(report.domains.at(0).missing == std::vector<std::string>{"e2"}, boost::test_tools::per_element());
+        }
+        BOOST_TEST(highestGeneration({view(here, {here, higher}), {"127.0.0.1:2", std::nullopt, "refused"}}, kind).value == 7U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(nothingKnownIsNotComplete)
 {
     BOOST_TEST(!evaluateEffect({}, s_target).complete);
@@ -105,18 +133,32 @@
             ports.answers[0].body = statusJson(instance, {});
         }
     };
-    BOOST_TEST(waitUntilInEffect(ports, pacer, s_target, pacer.now() + 10s).complete);
+    int rowReads = 0;
+    const auto readRow = [&] {
+        ++rowReads;
+        return RowState{base::Generation{6}, {}};
+    };
+    BOOST_TEST(waitUntilInEffect(ports, pacer, s_target, pacer.now() + 10s, readRow).complete);
     BOOST_TEST(ports.targets.size() == 4U);
 
     instance.generation = 4;
     ports.answers[0].body = statusJson(instance, {});
     const auto start = pacer.now();
-    BOOST_TEST(!waitUntilInEffect(ports, pacer, s_target, start + 10s).complete);
+    BOOST_TEST(!waitUntilInEffect(ports, pacer, s_target, start + 10s, readRow).complete);
     BOOST_TEST((pacer.now() - start == 10s));
+    // The read budget of the store is small; the row is needed only for an instance with a higher generation.
+    BOOST_TEST(rowReads == 0);
+    instance.generation = 6;
+    ports.answers[0].body = statusJson(instance, {});
+    BOOST_TEST(waitUntilInEffect(ports, pacer, s_target, start, readRow).complete);
+    BOOST_TEST(rowReads == 1);
+    instance.generation = 7;
+    ports.answers[0].body = statusJson(instance, {});
+    BOOST_TEST(!waitUntilInEffect(ports, pacer, s_target, start, readRow).complete);
 
     instance.environment = "other";
     ports.answers[0].body = statusJson(instance, {});
-    BOOST_TEST(waitUntilInEffect(ports, pacer, s_target, start).unreachablePorts.at(0).error == "belongs to environment other");
+    BOOST_TEST(waitUntilInEffect(ports, pacer, s_target, start, readRow).unreachablePorts.at(0).error == "belongs to environment other");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/ctl/submit_command.cpp
+++ b/src/ctl/submit_command.cpp
@@ -39,6 +39,9 @@
 /// Submits the bytes of a checked document and waits until it is in effect.
 Report submit(Context &context, Report report, std::string_view environment, std::string_view bytes, const document::SteeringDocument &document)
 {
+    // Asked before the row is read, so that the row of a sound store is at least as high. Ports that hang do not use up
+    // the time for settling the write.
+    const base::Generation highestInEffect = highestGeneration(pollStatus(context.ports, environment, s_submissionPollLimit), EffectTarget::Kind::Document);
     const base::TimePoint deadline = context.pacer.now() + context.wait;
     const std::string hash = document::contentHash(bytes);
     const platform::Submission submission{std::string(environment), context.newSubmissionId(), std::string(bytes), context.wallClock()};
@@ -48,7 +51,7 @@
 
     std::optional<platform::SubmitResult> result;
     try {
-        result = platform::DocumentStore(context.store).submit(submission);
+        result = platform::DocumentStore(context.store).submit(submission, highestInEffect);
     } catch (const platform::PlatformError &error) {
         return rejected(std::move(report), fmt::format("not accepted: {}", error.what()));
     }
@@ -59,9 +62,11 @@
     if (const auto *unsettled = std::get_if<platform::Unsettled>(&*result)) {
         return unknown(std::move(report), fmt::format("not known whether submission {} was accepted: {}", submission.id, unsettled->reason));
     }
-    const base::Generation generation = std::get<platform::Accepted>(*result).generation;
+    const auto accepted = std::get<platform::Accepted>(*result);
+    const base::Generation generation = accepted.generation;
     report.json["generation"] = generation.value;
     report.say(fmt::format("accepted in {} as generation {}, hash {}, submission {}", environment, generation.value, hash, submission.id));
+    noteRaisedGeneration(report, accepted.previous, generation, highestInEffect);
     const EffectTarget target{EffectTarget::Kind::Document, std::string(environment), generation, hash, requiredDomains(context, environment, document)};
     return concludeWhenInEffect(context, std::move(report), target, deadline);
 }
--- a/src/platform/document_store.cpp
+++ b/src/platform/document_store.cpp
@@ -3,6 +3,7 @@
 #include "trefoilstile/platform/document_store.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include <fmt/format.h>
 
@@ -56,7 +57,7 @@
     return std::move(*bytes);
 }
 
-SubmitResult DocumentStore::submit(const Submission &submission, const Call &call)
+SubmitResult DocumentStore::submit(const Submission &submission, base::Generation highestInEffect, const Call &call)
 {
     const std::optional<DocumentRow> current = row(submission.environment, call);
     const std::vector<HistoryEntry> history = current ? current->history : std::vector<HistoryEntry>{};
@@ -64,17 +65,19 @@
         return entry.submission == submission.id;
     });
     if (earlier != history.end()) {
-        return Accepted{earlier->generation};
+        return Accepted{earlier->generation, earlier == history.begin() ? base::Generation{earlier->generation.value - 1} : std::prev(earlier)->generation};
     }
 
+    const base::Generation previous = current ? current->generation : base::Generation{};
+    const base::Generation next = nextGeneration(previous, highestInEffect);
     const std::string hash = document::contentHash(submission.bytes);
     storeObject(*m_store, hash, submission.bytes, call);
 
-    const base::Generation next{current ? current->generation.value + 1 : 1};
     PendingWrite pending{std::string(s_table),
         submission.environment,
         current ? current->version : 0,
         documentRowText(extended(history, {next, submission.id, hash, submission.acceptedAt})),
+        previous,
         next,
         submission.id};
     return submitWrite(*m_store, std::move(pending), call);
--- a/src/platform/document_store_test.cpp
+++ b/src/platform/document_store_test.cpp
@@ -2,6 +2,10 @@
 
 #include "trefoilstile/platform/document_store.hpp"
 
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <map>
 #include <optional>
 
 #include <boost/test/unit_test.hpp>
@@ -32,41 +36,68 @@
     bool unavailable = false;
 };
 
-/// Submissions in the order in which they were accepted, one for each generation from 1 on.
-std::vector<std::string> acceptedSubmissions(const FakeStore &store)
+/// An accepted submission.
+struct Entry {
+    std::uint64_t generation{};
+    std::string submission;
+};
+
+using Entries = std::vector<Entry>;
+
+const Entry *find(const Entries &accepted, std::uint64_t generation)
+{
+    const auto found = std::find_if(accepted.begin(), accepted.end(), [&](const Entry &entry) {
+        return entry.generation == generation;
+    });
+    return found == accepted.end() ? nullptr : &*found;
+}
+
+/// Submissions in the order in which they were accepted. Each made a generation above the one before, and without a
+/// higher one in effect on instances (`highestInEffect`, by submission) exactly the next one.
+Entries acceptedSubmissions(const FakeStore &store, const std::map<std::string, std::uint64_t> &highestInEffect)
 {
-    std::vector<std::string> accepted;
+    Entries accepted;
     const auto values = store.log.find(s_path);
     if (values == store.log.end()) {
         return accepted;
     }
     for (const std::string &value : values->second) {
         const DocumentRow row = parseDocumentRow({1, value});
-        RC_ASSERT(row.generation.value == accepted.size() + 1);
+        const std::uint64_t previous = accepted.empty() ? 0 : accepted.back().generation;
+        const std::uint64_t highest = highestInEffect.at(row.submission);
+        RC_ASSERT(row.generation.value == std::max(previous, highest) + 1);
         RC_ASSERT(store.objects.contains(row.hash));
-        RC_ASSERT(row.history.size() == std::min<std::size_t>(row.generation.value, s_historyLength));
-        accepted.push_back(row.submission);
+        accepted.push_back({row.generation.value, row.submission});
+        RC_ASSERT(row.history.size() == std::min(accepted.size(), s_historyLength));
         for (const HistoryEntry &entry : row.history) {
-            RC_ASSERT(entry.submission == accepted.at(entry.generation.value - 1));
+            const Entry *found = find(accepted, entry.generation.value);
+            RC_ASSERT(found != nullptr);
+            RC_ASSERT(entry.submission == found->submission);
         }
     }
     return accepted;
 }
 
-void checkAgainst(const std::vector<std::string> &accepted, const Submitter &submitter)
+void checkAgainst(const Entries &accepted, const Submitter &submitter)
 {
-    const auto count = std::count(accepted.begin(), accepted.end(), submitter.id);
+    const auto count = std::count_if(accepted.begin(), accepted.end(), [&](const Entry &entry) {
+        return entry.submission == submitter.id;
+    });
     RC_ASSERT(count <= 1);
     RC_ASSERT(!submitter.unavailable || count == 0);
     if (!submitter.result) {
         return;
     }
     if (const auto *won = std::get_if<Accepted>(&*submitter.result)) {
-        RC_ASSERT(won->generation.value <= accepted.size());
-        RC_ASSERT(accepted[won->generation.value - 1] == submitter.id);
+        const Entry *entry = find(accepted, won->generation.value);
+        RC_ASSERT(entry != nullptr);
+        RC_ASSERT(entry->submission == submitter.id);
+        RC_ASSERT(won->previous.value == (entry == &accepted.front() ? 0 : std::prev(entry)->generation));
     } else if (const auto *lost = std::get_if<LostRace>(&*submitter.result)) {
         RC_ASSERT(count == 0);
-        RC_ASSERT(accepted[lost->winner.generation.value - 1] == lost->winner.submission);
+        const Entry *winner = find(accepted, lost->winner.generation.value);
+        RC_ASSERT(winner != nullptr);
+        RC_ASSERT(winner->submission == lost->winner.submission);
     }
 }
 
@@ -74,15 +105,20 @@
 
 BOOST_AUTO_TEST_SUITE(DocumentStores)
 
-// Submitters race (each may run whole in the middle of another's request) under every fault of the store.
-RC_BOOST_PROP(everySubmitterIsToldTheTruth, (const std::vector<std::uint8_t> &faults, const std::vector<bool> &races))
+// Submitters race (each may run whole in the middle of another's request) under every fault of the store. Some have
+// asked instances that have a higher generation in effect than the row.
+RC_BOOST_PROP(
+    everySubmitterIsToldTheTruth, (const std::vector<std::uint8_t> &faults, const std::vector<bool> &races, const std::vector<std::uint8_t> &inEffect))
 {
     FakeStore store;
     for (const std::uint8_t fault : faults) {
         store.faults.push_back(static_cast<Fault>(fault % 5));
     }
     std::vector<Submitter> submitters;
+    std::map<std::string, std::uint64_t> highestInEffect;
     for (const char *id : {"a", "b", "c", "d", "e", "f"}) {
+        // Without reports of instances at first: a shorter vector leaves the rest of them without.
+        highestInEffect[id] = submitters.size() < inEffect.size() ? inEffect[submitters.size()] % 10U : 0;
         submitters.push_back({id, {}, false});
     }
     std::size_t next = 0;
@@ -90,7 +126,7 @@
     const auto runNext = [&] {
         Submitter &submitter = submitters[next++];
         try {
-            submitter.result = DocumentStore(store).submit(submission(submitter.id));
+            submitter.result = DocumentStore(store).submit(submission(submitter.id), {highestInEffect.at(submitter.id)});
         } catch (const Unavailable &) {
             submitter.unavailable = true;
         }
@@ -105,7 +141,7 @@
     }
     store.beforeRequest = nullptr;
     store.deliverDelayed();
-    const std::vector<std::string> accepted = acceptedSubmissions(store);
+    const Entries accepted = acceptedSubmissions(store, highestInEffect);
     for (const Submitter &submitter : submitters) {
         checkAgainst(accepted, submitter);
     }
@@ -118,7 +154,7 @@
             RC_ASSERT(!std::holds_alternative<Unsettled>(*submitter.result));
         }
     }
-    const std::vector<std::string> settled = acceptedSubmissions(store);
+    const Entries settled = acceptedSubmissions(store, highestInEffect);
     for (const Submitter &submitter : submitters) {
         checkAgainst(settled, submitter);
     }
@@ -167,6 +203,44 @@
     BOOST_TEST(std::holds_alternative<Unsettled>(DocumentStore(store).submit(submission("a"))));
 }
 
+// Instances ignore generations that are not above theirs, so that a row below them must skip what they have.
+BOOST_AUTO_TEST_CASE(takesAGenerationAboveTheInstances)
+{
+    FakeStore store;
+    DocumentStore documents(store);
+    documents.submit(submission("a"));
+    const auto raised = std::get<Accepted>(documents.submit(submission("b"), {7}));
+    BOOST_TEST(raised.generation.value == 8U);
+    BOOST_TEST(raised.previous.value == 1U);
+    BOOST_TEST(std::get<Accepted>(documents.submit(submission("c"), {7})).generation.value == 9U);
+    BOOST_TEST(std::get<Accepted>(documents.submit(submission("b"), {20})).previous.value == 1U);
+    // One more would wrap to 0, which no reader accepts.
+    BOOST_CHECK_THROW(documents.submit(submission("d"), {std::numeric_limits<std::uint64_t>::max()}), MalformedData);
+    BOOST_TEST(documents.row("trial")->generation.value == 9U);
+}
+
+// A loser whose generation was skipped must be told that it lost; a row that came back from a backup proves nothing.
+BOOST_AUTO_TEST_CASE(lostAnswerWithASkippedGeneration)
+{
+    FakeStore store;
+    DocumentStore documents(store);
+    documents.submit(submission("a"));
+    store.faults = {Fault::None, Fault::None, Fault::RequestLost};
+    int requests = 0;
+    store.beforeRequest = [&] {
+        if (++requests == 4) {
+            DocumentStore(store).submit(submission("c"));
+        }
+    };
+    const SubmitResult result = documents.submit(submission("b"), {7});
+    BOOST_REQUIRE(std::holds_alternative<LostRace>(result));
+    BOOST_TEST(std::get<LostRace>(result).winner.submission == "c");
+
+    store.beforeRequest = nullptr;
+    const PendingWrite beforeRestore{"documents", "trial", 99, "{}", {5}, {8}, "b"};
+    BOOST_TEST(std::holds_alternative<Unsettled>(settle(store, beforeRestore, {})));
+}
+
 // A damaged object or row must never come into effect.
 BOOST_AUTO_TEST_CASE(rejectsDamagedData)
 {
--- a/src/platform/drain_store.cpp
+++ b/src/platform/drain_store.cpp
@@ -79,23 +79,25 @@
     return parseDrainRow(m_store->readRow(s_table, environment, call));
 }
 
-DrainResult DrainStore::change(std::string_view environment, const DrainChange &change, std::string_view submission, const Call &call)
+DrainResult DrainStore::change(
+    std::string_view environment, const DrainChange &change, std::string_view submission, base::Generation highestInEffect, const Call &call)
 {
     DrainRow current = row(environment, call);
     for (int attempt = 0; attempt < s_conflictAttempts; ++attempt) {
-        if (!applyTo(current.drains, change)) {
+        if (!applyTo(current.drains, change) && current.generation >= highestInEffect) {
             return DrainApplied{current.generation, false};
         }
-        const base::Generation next{current.generation.value + 1};
+        const base::Generation next = nextGeneration(current.generation, highestInEffect);
         PendingWrite pending{std::string(s_table),
             std::string(environment),
             current.version,
             drainRowText(extended(current.history, {next, std::string(submission), {}, {}}), current.drains),
+            current.generation,
             next,
             std::string(submission)};
         SubmitResult result = submitWrite(*m_store, std::move(pending), call);
         if (const auto *accepted = std::get_if<Accepted>(&result)) {
-            return DrainApplied{accepted->generation};
+            return DrainApplied{accepted->generation, true, accepted->previous};
         }
         if (auto *unsettled = std::get_if<Unsettled>(&result)) {
             return std::move(*unsettled);
--- a/src/platform/row_codec.cpp
+++ b/src/platform/row_codec.cpp
@@ -148,6 +148,13 @@
     return row.version == 0 ? std::vector<HistoryEntry>{} : history(parsed(row));
 }
 
+bool hasWholeHistory(const Row &row)
+{
+    const json object = json::parse(row.value, nullptr, false);
+    const auto found = object.find("history");
+    return found != object.end() && found->is_array() && !found->empty() && found->size() < s_historyLength;
+}
+
 std::string documentRowText(const std::vector<HistoryEntry> &entries)
 {
     return rowObject(entries).dump();
--- a/src/platform/row_codec.hpp
+++ b/src/platform/row_codec.hpp
@@ -25,6 +25,9 @@
 /// @throws MalformedData
 std::vector<HistoryEntry> parseHistory(const Row &row);
 
+/// Whether the row's history has every submission since the row was made. False in doubt.
+bool hasWholeHistory(const Row &row);
+
 /// Value of the row that makes `history.back()` the document in effect.
 std::string documentRowText(const std::vector<HistoryEntry> &history);
 
--- a/src/platform/submission.cpp
+++ b/src/platform/submission.cpp
@@ -3,6 +3,7 @@
 #include "trefoilstile/platform/submission.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include <fmt/format.h>
 
@@ -27,6 +28,22 @@
     return found == history.end() ? nullptr : &*found;
 }
 
+/// The first submission after the row that the write needs, or null if there is none. A row that is not above that one
+/// did not replace it but came back from a backup.
+const HistoryEntry *firstAfter(const std::vector<HistoryEntry> &history, base::Generation previous)
+{
+    const auto found = std::find_if(history.begin(), history.end(), [&](const HistoryEntry &entry) {
+        return entry.generation > previous;
+    });
+    return found == history.end() ? nullptr : &*found;
+}
+
+/// Whether the history would have an entry of the write if it had taken effect. Entries are lost only from the front.
+bool reachesBack(const std::vector<HistoryEntry> &history, const PendingWrite &pending, const Row &row)
+{
+    return !history.empty() && (history.front().generation < pending.generation || hasWholeHistory(row));
+}
+
 /// Outcome of a write whose condition no longer holds, as the row's history tells it.
 SubmitResult outcomeFromHistory(PendingWrite pending, const Row &row)
 {
@@ -37,11 +54,15 @@
         return Unsettled{std::move(pending), error.what()};
     }
     const HistoryEntry *entry = find(history, pending.generation);
+    if (entry == nullptr && reachesBack(history, pending, row)) {
+        // Generations may be skipped, so that nobody has the one that was wanted.
+        entry = firstAfter(history, pending.previous);
+    }
     if (entry == nullptr) {
         return Unsettled{pending, fmt::format("the history of {}/{} does not reach generation {}", pending.table, pending.key, pending.generation.value)};
     }
     if (entry->submission == pending.submission) {
-        return Accepted{pending.generation};
+        return Accepted{pending.generation, pending.previous};
     }
     return LostRace{*entry, row};
 }
@@ -58,11 +79,20 @@
 
 } // namespace
 
+base::Generation nextGeneration(base::Generation row, base::Generation highestInEffect)
+{
+    const base::Generation highest = std::max(row, highestInEffect);
+    if (highest.value == std::numeric_limits<decltype(highest.value)>::max()) {
+        throw MalformedData(fmt::format("there is no generation above {}", highest.value));
+    }
+    return {highest.value + 1};
+}
+
 SubmitResult submitWrite(Store &store, PendingWrite pending, const Call &call)
 {
     try {
         const WriteResult result = store.writeRow(pending.table, pending.key, pending.ifVersion, pending.value, call);
-        return result.applied ? Accepted{pending.generation} : lostForCertain(std::move(pending), result.row);
+        return result.applied ? Accepted{pending.generation, pending.previous} : lostForCertain(std::move(pending), result.row);
     } catch (const OutcomeUnknown &) {
         return settle(store, std::move(pending), call);
     }
@@ -78,7 +108,7 @@
                 return outcomeFromHistory(std::move(pending), row);
             }
             const WriteResult result = store.writeRow(pending.table, pending.key, pending.ifVersion, pending.value, call);
-            return result.applied ? Accepted{pending.generation} : outcomeFromHistory(std::move(pending), result.row);
+            return result.applied ? Accepted{pending.generation, pending.previous} : outcomeFromHistory(std::move(pending), result.row);
         } catch (const PlatformError &error) {
             reason = error.what();
         }
