Await in plain statements, not in operands that may be skipped

Cause: when a caller left while its order was relayed, the relaying instance ended: g++ 12 evaluated the co_await behind a true left operand of ||, with a null session. Ruled out: a missing check of the session, since it is there. Before: Callers/callerMayLeaveDuringARelay ended with an access violation. Conclusion: the rule stands at the head of caller_session.hpp.

--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -255,13 +255,18 @@
             break;
         }
         const std::span<const char> piece(buffer.data(), count);
-        if (read == BodyRead::Failed || !co_await passPiece(piece)) {
+        bool passed = false;
+        if (read == BodyRead::Data) {
+            passed = co_await passPiece(piece);
+        }
+        if (!passed) {
             co_return m_passed ? AttemptResult::Broken : AttemptResult::Failed;
         }
     }
     if (mayPass() && (!m_resuming || m_exchange->delivered == *m_exchange->total)) {
         const auto session = m_exchange->caller;
-        if (!co_await session->sendEnd(m_command.idleTimeout) && !m_command.freshConnection) {
+        const bool ended = co_await session->sendEnd(m_command.idleTimeout);
+        if (!ended && !m_command.freshConnection) {
             co_return AttemptResult::Broken;
         }
     }
--- a/src/http/caller_server_test.cpp
+++ b/src/http/caller_server_test.cpp
@@ -362,6 +362,25 @@
     BOOST_TEST(caller.closedByOther());
 }
 
+// The issuer's response then has nobody to go to; it ended the process once.
+BOOST_AUTO_TEST_CASE(callerMayLeaveDuringARelay)
+{
+    ServerFixture fixture;
+    FakeUpstream issuer;
+    Peer caller(fixture.address);
+    caller.write("POST /hold HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nx");
+    fixture.execute(engine::Relay{fixture.next<RequestArrived>().id, issuer.address(), s_hangLimit});
+    Peer served = issuer.accept();
+    served.read();
+    caller.close();
+    fixture.next<engine::CallerDisconnected>();
+    served.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    fixture.next<engine::RelayEnded>();
+    Peer other(fixture.address);
+    other.write(s_get);
+    fixture.next<RequestArrived>();
+}
+
 BOOST_AUTO_TEST_CASE(relaysToTheIssuer)
 {
     ServerFixture fixture;
--- a/src/http/caller_session.hpp
+++ b/src/http/caller_session.hpp
@@ -1,5 +1,7 @@
 // One connection of a caller: reads requests one after another and writes their responses in the same order.
 //
+// No co_await stands in an operand that may be skipped (||, &&, ?:): g++ 12 evaluated it all the same, which ended the
+// process when a caller left during a relay.
 // Coroutines of this module take no strings, nor types that hold strings, by value: g++ 12 copies such arguments
 // bitwise into the frame of the awaiting coroutine, which breaks short strings, since those point into themselves.
 #pragma once
--- a/src/http/load_poller.cpp
+++ b/src/http/load_poller.cpp
@@ -147,7 +147,11 @@
     const ErrorCode error = co_await connection->write(text, options.timeout);
     ResponseReader reader(connection, false);
     ResponseHead head;
-    if (error || !co_await reader.readHead(head)) {
+    if (error) {
+        co_return false;
+    }
+    const bool headRead = co_await reader.readHead(head);
+    if (!headRead) {
         co_return false;
     }
     std::string received;
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -76,7 +76,11 @@
     const std::string text = forwardedHead(m_exchange->request, extra);
     const bool sent = co_await m_call.send(text, m_exchange->request.body);
     ResponseHead head;
-    if ((!sent && !m_call.sentAnything()) || !co_await m_call.readHead(m_exchange->request.method == "HEAD", head)) {
+    if (!sent && !m_call.sentAnything()) {
+        co_return false;
+    }
+    const bool headRead = co_await m_call.readHead(m_exchange->request.method == "HEAD", head);
+    if (!headRead) {
         co_return false;
     }
     if (mayPass()) {
@@ -108,7 +112,10 @@
         }
         const auto session = mayPass() ? m_exchange->caller : nullptr;
         if (read == BodyRead::End) {
-            co_return !session || co_await session->sendEnd(idle);
+            if (!session) {
+                co_return true;
+            }
+            co_return co_await session->sendEnd(idle);
         }
         if (session) {
             const std::span<const char> piece(buffer.data(), count);
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -115,7 +115,9 @@
         if (wantsInput && used > 0) {
             continue;
         }
-        error = wantsInput ? co_await m_connection->readSome() : error;
+        if (wantsInput) {
+            error = co_await m_connection->readSome();
+        }
         if (error == asio::error::eof) {
             // Clean only for a body that ends with the connection; for all others this reports an error.
             error = {};
