--- a/tests/process/outage_test.cpp
+++ b/tests/process/outage_test.cpp
@@ -50,6 +50,16 @@
     BOOST_TEST(fleet.executionsOf(key) == 0U);
 }
 
+/// A platform that hangs must stop polls for a while; they would only add to its load.
+void requireOpenBreaker(const Fleet &fleet)
+{
+    BOOST_TEST(waitUntil([&fleet] {
+        return std::any_of(fleet.instances.begin(), fleet.instances.end(), [](const auto &instance) {
+            return instance->status()["platform"]["breaker"] == "open";
+        });
+    }));
+}
+
 json documentRow(const Fleet &fleet)
 {
     const HttpResponse response = call(fleet.platform.address, {"GET", "/tables/documents/rows/production", {}, {}});
@@ -72,6 +82,7 @@
         fleet.setPlatformFaults({{"unreachable", mode}});
         requireService(fleet, mode);
         requireNoRunOfCallerKey(fleet, std::string("caller-key-") + mode);
+        requireOpenBreaker(fleet);
     }
 
     Instance &replacement = fleet.start("entry-2", "dom-a");
