Look up an upstream's address in one place

Cause: upstreamSetConfig repeated the rule of document::addressIn, that the entry `*` serves all other environments. The daemon's load polling uses that function already. Before: the rule stood twice. After: once; upstream_test, engine_test, policy_bounds_test, ctl_test and process_operators pass, format and lint are clean on the file. Conclusion: behaviour is unchanged.

--- a/src/upstream/upstream_set_update.cpp
+++ b/src/upstream/upstream_set_update.cpp
@@ -34,13 +34,9 @@
     config.maximumEntryInstances = document.maximumEntryInstances;
     config.warmUp = service.warmUp;
     for (const document::Upstream &upstream : service.upstreams) {
-        auto address = upstream.addresses.find(environment);
-        if (address == upstream.addresses.end()) {
-            address = upstream.addresses.find("*");
-        }
-        if (address != upstream.addresses.end()) {
+        if (const std::string *address = document::addressIn(upstream, environment)) {
             config.upstreams.push_back({upstream.name,
-                address->second,
+                *address,
                 upstream.failureDomain,
                 regionName(document, upstream.failureDomain),
                 upstream.slots,
