--- a/bench/capacity/store_load.cpp
+++ b/bench/capacity/store_load.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "target.hpp"
-#include "trefoilstile/platform/purpose_budgets.hpp"
+#include "trefoilstile/tablestore/purpose_budgets.hpp"
 #include "trefoilstile/steering/dissemination.hpp"
 
 namespace trefoilstile::bench
@@ -68,14 +68,14 @@
 
 StoreCase budgetCeiling(std::string name, std::size_t nodes)
 {
-    const platform::PurposeBudgetOptions options;
+    const tablestore::PurposeBudgetOptions options;
     constexpr const char *purposes[] = {"documents", "claims", "statistics"};
     StoreCase made{std::move(name), {}};
-    for (std::size_t purpose = 0; purpose < platform::s_purposeCount; ++purpose) {
-        const auto rate = [&options, purpose, nodes](platform::Access access) {
+    for (std::size_t purpose = 0; purpose < tablestore::s_purposeCount; ++purpose) {
+        const auto rate = [&options, purpose, nodes](tablestore::Access access) {
             return options.rates[static_cast<std::size_t>(access)][purpose].perSecond * static_cast<double>(nodes);
         };
-        made.rates.push_back({purposes[purpose], rate(platform::Access::Read), rate(platform::Access::Write)});
+        made.rates.push_back({purposes[purpose], rate(tablestore::Access::Read), rate(tablestore::Access::Write)});
     }
     return made;
 }
--- a/include/trefoilstile/ctl/arguments.hpp
+++ b/include/trefoilstile/ctl/arguments.hpp
@@ -10,7 +10,7 @@
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/ctl/report.hpp"
 #include "trefoilstile/engine/event.hpp"
-#include "trefoilstile/platform/http_connection.hpp"
+#include "trefoilstile/tablestore/http_connection.hpp"
 
 namespace trefoilstile::ctl
 {
@@ -19,8 +19,8 @@
 
 struct Arguments {
     Command command = Command::Status;
-    std::optional<platform::Endpoint> platform;
-    std::vector<platform::Endpoint> operators;
+    std::optional<tablestore::Endpoint> platform;
+    std::vector<tablestore::Endpoint> operators;
     std::string environment;
     OutputFormat output = OutputFormat::Text;
     base::Duration wait = std::chrono::seconds(10); ///< twice the 5 s in which a change is to be in effect everywhere
--- a/include/trefoilstile/ctl/commands.hpp
+++ b/include/trefoilstile/ctl/commands.hpp
@@ -9,8 +9,8 @@
 #include "trefoilstile/ctl/effect.hpp"
 #include "trefoilstile/ctl/node_status.hpp"
 #include "trefoilstile/ctl/report.hpp"
-#include "trefoilstile/platform/drain_store.hpp"
-#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/tablestore/drain_store.hpp"
+#include "trefoilstile/tablestore/store.hpp"
 
 namespace trefoilstile::ctl
 {
@@ -20,7 +20,7 @@
 
 /// What the commands work with.
 struct Context {
-    platform::Store &store;
+    tablestore::Store &store;
     OperatorPorts &ports;
     Pacer &pacer;
     std::function<std::string()> newSubmissionId; ///< a new one on each call
@@ -40,7 +40,7 @@
 Report promote(Context &context, std::string_view from, std::string_view to, const std::optional<std::string> &expectedHash);
 
 /// Adds or removes a drain and waits until it is in effect. Names that are not known, or not drained, are rejected.
-Report changeDrain(Context &context, std::string_view environment, const platform::DrainChange &change);
+Report changeDrain(Context &context, std::string_view environment, const tablestore::DrainChange &change);
 
 /// State of the instances behind the operator ports.
 Report status(Context &context);
--- a/include/trefoilstile/daemon/messages.hpp
+++ b/include/trefoilstile/daemon/messages.hpp
@@ -17,8 +17,8 @@
 #include "trefoilstile/http/load_poller.hpp"
 #include "trefoilstile/idempotency/issued_key.hpp"
 #include "trefoilstile/idempotency/sealed_tables.hpp"
-#include "trefoilstile/platform/circuit_breaker.hpp"
-#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/tablestore/circuit_breaker.hpp"
+#include "trefoilstile/tablestore/store.hpp"
 #include "trefoilstile/routing/entry_choice.hpp"
 #include "trefoilstile/steering/dissemination.hpp"
 #include "trefoilstile/steering/generation_holder.hpp"
@@ -115,7 +115,7 @@
 
 /// The platform's instance list, as far as it concerns this system.
 struct InstanceList {
-    std::vector<platform::ListedInstance> instances;
+    std::vector<tablestore::ListedInstance> instances;
 };
 
 /// What the decision thread has in effect.
@@ -211,7 +211,7 @@
 };
 
 struct PlatformStatus {
-    platform::BreakerState breaker = platform::BreakerState::Closed;
+    tablestore::BreakerState breaker = tablestore::BreakerState::Closed;
 };
 
 using ReportInput = std::variant<LatencySample, CountSample, DecisionStatus, PeerStatus, PlatformStatus>;
--- a/src/daemon/peer_network.hpp
+++ b/include/trefoilstile/daemon/peer_network.hpp
@@ -13,7 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
-#include "frame_connection.hpp"
+#include "trefoilstile/daemon/frame_connection.hpp"
 #include "trefoilstile/idempotency/sealed_tables.hpp"
 #include "trefoilstile/membership/messages.hpp"
 #include "trefoilstile/peer/envelope_codec.hpp"
--- a/src/http/listener.hpp
+++ b/include/trefoilstile/http/listener.hpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "connection.hpp"
+#include "trefoilstile/http/connection.hpp"
 
 namespace trefoilstile::http
 {
--- a/src/http/response_reader.hpp
+++ b/include/trefoilstile/http/response_reader.hpp
@@ -5,8 +5,8 @@
 #include <memory>
 #include <span>
 
-#include "connection.hpp"
-#include "message.hpp"
+#include "trefoilstile/http/connection.hpp"
+#include "trefoilstile/http/message.hpp"
 
 namespace trefoilstile::http
 {
--- /dev/null
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -0,0 +1,126 @@
+// Chooses the upstream of a request, or tells that it cannot be served in time.
+//
+// Answers a load that fits the upstreams only while most objects are warm. All instances rank the upstreams of a key the
+// same way (rendezvous hashing), so that an object is handled by few upstreams, without agreement. The first of them with
+// a free slot is taken; a short wait at one of them is preferred to a free slot at an upstream that would have to do the
+// work cold. A request that cannot be answered in its time is rejected at once.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trefoilstile/ingress/configuration.hpp"
+#include "trefoilstile/ingress/joint_limits.hpp"
+#include "trefoilstile/ingress/region_split.hpp"
+#include "trefoilstile/ingress/upstream_book.hpp"
+
+namespace trefoilstile::ingress
+{
+
+struct PlacementOptions {
+    std::size_t warmUpstreams = 2; ///< upstreams of a region that handle a key while they have room
+    /// Part of the latency objective that a request may wait at a warm upstream before a cold one with a free slot is used.
+    double warmWaitShare = 0.35;
+    /// Requests waiting at an upstream beyond its slots, as a multiple of the slots: for the most urgent priority, and less
+    /// for each priority below it, so that urgent work still finds room in the queue.
+    double queuePerSlot = 1.6;
+    double queueStep = 0.35;
+    double leastQueuePerSlot = 0.7;
+    /// Requests spilled to other regions for want of room, as a part of all: below the shift that operators allow.
+    double spillShare = 0.05;
+    /// Time of an attempt at an upstream of which nothing is known.
+    base::Duration assumedServiceTime = std::chrono::milliseconds(100);
+    /// Part of the time left that an answer may be predicted to take.
+    double deadlineShare = 0.9;
+};
+
+enum class PlacementOutcome : std::uint8_t {
+    Chosen,
+    NoUpstream, ///< no usable upstream is known
+    NoRoom, ///< all are too busy for the time that the request has
+};
+
+/// Why the upstream was taken; for logs.
+enum class PlacementReason : std::uint8_t { Warm, WarmWait, Free, Spill, Queue, Trial, None };
+
+struct PlacementRequest {
+    const Route &route;
+    std::string_view service;
+    std::uint64_t key{}; ///< hash of the affinity key, or random without one
+    std::span<const Upstream *const> excluded; ///< tried before
+    base::Duration timeLeft{}; ///< until the caller or the route gives up
+    base::Duration objectiveLeft{}; ///< until the latency objective; may be negative
+};
+
+struct PlacementResult {
+    PlacementOutcome outcome = PlacementOutcome::NoUpstream;
+    PlacementReason reason = PlacementReason::None;
+    UpstreamBook::Pointer upstream; ///< if chosen
+    double load{}; ///< believed load of the chosen upstream
+    base::Duration retryAfter{}; ///< if there is no room: when some is expected
+};
+
+/// Placement of one entry instance.
+class Placement
+{
+public:
+    Placement(UpstreamBook &book, std::string ownRegion, std::uint64_t instanceHash, PlacementOptions options = {})
+        : m_book(book)
+        , m_ownRegion(std::move(ownRegion))
+        , m_instanceHash(instanceHash)
+        , m_options(options)
+    {
+    }
+
+    /// Demand of the callers of each region, in any unit.
+    void setDemand(std::map<std::string, double, std::less<>> demand)
+    {
+        m_demand = std::move(demand);
+    }
+
+    /// Hashes of the other instances, for the division of warm-up rates; `members` counts this one too.
+    void setMembers(std::vector<std::uint64_t> others, std::size_t members)
+    {
+        m_others = std::move(others);
+        m_members = members;
+    }
+
+    /// Moves the region splits; to be called a few times a second.
+    void advance(const Configuration &configuration, base::TimePoint now);
+
+    PlacementResult choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now);
+
+private:
+    struct Candidate {
+        const UpstreamBook::Pointer *upstream{};
+        double load{};
+        double slots{};
+        base::Duration wait{};
+    };
+
+    struct ServiceState {
+        RegionSplit split;
+        SpillLimit spill{0};
+        std::map<const Upstream *, WarmUpShare> warmUp;
+    };
+
+    ServiceState &state(std::string_view service);
+    bool admitsCold(ServiceState &service, const Upstream &upstream, const Configuration &configuration, base::TimePoint now);
+    Candidate candidate(const UpstreamBook::Pointer &upstream, base::TimePoint now) const;
+    std::vector<const UpstreamBook::Pointer *> ranked(const PlacementRequest &request, base::TimePoint now) const;
+
+    UpstreamBook &m_book;
+    std::string m_ownRegion;
+    std::uint64_t m_instanceHash;
+    PlacementOptions m_options;
+    std::map<std::string, double, std::less<>> m_demand;
+    std::vector<std::uint64_t> m_others;
+    std::size_t m_members{};
+    std::map<std::string, ServiceState, std::less<>> m_services;
+};
+
+} // namespace trefoilstile::ingress
--- /dev/null
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -0,0 +1,175 @@
+// What an entry instance believes of each upstream: whether it may be used, how busy it is, how it has behaved.
+//
+// Discovery reports come late, and entries lapse while their source is away, so a removal is only believed at once if
+// the source has been in reach. Load is the upstream's own figure, corrected by what this instance has sent since.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "trefoilstile/base/time.hpp"
+#include "trefoilstile/ingress/configuration.hpp"
+
+namespace trefoilstile::ingress
+{
+
+/// One upstream as discovery reports it.
+struct UpstreamReport {
+    std::string id; ///< of one run of the upstream, unless it starts again under the same one; see `startedAt`
+    std::string service;
+    std::string address; ///< `IP:port`
+    std::string failureDomain;
+    std::uint32_t slots = 1; ///< requests worked on at the same time
+    bool draining = false; ///< takes no new work and ends soon
+    base::Duration warmUpLeft{}; ///< at the time of the report
+    std::int64_t startedAt{}; ///< identifies the run of the process; Unix milliseconds by the upstream's clock
+};
+
+/// Load as an upstream states it in a response.
+struct LoadFigure {
+    std::uint32_t running{};
+    std::uint32_t waiting{};
+    std::uint32_t slots{};
+};
+
+/// What an attempt says about its upstream.
+enum class AttemptVerdict : std::uint8_t {
+    Served, ///< a whole response of the upstream
+    Shed, ///< refused for lack of room; the request has not run
+    Unreachable, ///< no connection; nothing was sent
+    Broken, ///< the connection failed, or the response was cut or spoiled
+    Silent, ///< no response in the time given
+    Cancelled, ///< ended by the caller; says nothing
+    Misdirected, ///< another upstream has the address
+};
+
+struct BookOptions {
+    /// After the source returns, lapsed entries are back within 2 s; the rest allows for delivery.
+    base::Duration lapseHold = std::chrono::milliseconds(2'200);
+    /// Cold time assumed beyond what a report says, for the delay of the report.
+    base::Duration warmUpMargin = std::chrono::milliseconds(300);
+    /// Time constant of the failure rate: a grey upstream is noticed within a second at some requests a second.
+    base::Duration failureMemory = std::chrono::seconds(3);
+    /// Failure rate from which an upstream is avoided: three times the share of failures of a sound one is far below.
+    double failureLimit = 0.35;
+    double failureEvidence = 2.5; ///< decayed number of attempts that the rate must rest on
+    base::Duration probation = std::chrono::milliseconds(1'000); ///< between trial requests to an avoided upstream
+    base::Duration unreachablePause = std::chrono::milliseconds(500); ///< after a refused connection; doubles up to the longest
+    base::Duration longestPause = std::chrono::seconds(4); ///< bounded, since an upstream may return unannounced
+    /// Weight of the newest service time in the moving average.
+    double serviceTimeWeight = 0.15;
+    base::Duration loadFigureLifetime = std::chrono::seconds(2); ///< older figures say nothing; own requests still count
+};
+
+/// State of one upstream. Owned by the book; requests in flight share it.
+struct Upstream {
+    UpstreamReport report;
+    std::string region;
+    std::uint64_t hash{}; ///< of the id, for placement
+    base::TimePoint coldUntil; ///< takes only a limited rate until then
+    bool gone = false; ///< removed from the book; nothing may be sent any more
+    std::optional<base::TimePoint> removeAt; ///< lapsed: gone unless it is reported again by then
+
+    std::uint32_t outstanding{}; ///< requests of this instance at it
+    std::uint32_t openConnections{}; ///< of this instance
+    LoadFigure load;
+    base::TimePoint loadAt; ///< arrival of `load`
+    std::uint32_t outstandingAtLoad{}; ///< own requests that `load` counts
+    double serviceSeconds{}; ///< moving average; 0: nothing known
+
+    double attempts{}; ///< decayed
+    double failures{}; ///< decayed; at most `attempts`
+    base::TimePoint decayedAt;
+    base::TimePoint avoidUntil; ///< no request before, unless all others are avoided too
+    base::Duration pause{}; ///< last pause after failing to connect; 0 after a success
+    base::TimePoint lastTrial;
+};
+
+class UpstreamBook
+{
+public:
+    using Pointer = std::shared_ptr<Upstream>;
+
+    explicit UpstreamBook(BookOptions options = {})
+        : m_options(options)
+    {
+    }
+
+    /// Region of each failure domain. An upstream of an unknown one has an empty region.
+    void setRegions(std::map<std::string, std::string, std::less<>> regions)
+    {
+        m_regions = std::move(regions);
+    }
+
+    /// Services of the configuration in effect; they tell how long a new upstream is cold.
+    void setServices(const Configuration &configuration);
+
+    /// Takes a report. True if it changed what is believed.
+    bool report(const UpstreamReport &report, base::TimePoint now);
+
+    /// The entry is gone. Believed at once if its source is sound, else after `lapseHold` from the source's return.
+    void remove(std::string_view id, base::TimePoint now);
+
+    /// The source answers, or does not. While it does not, removals wait.
+    void sourceAvailable(bool available, base::TimePoint now);
+
+    /// Failure domains whose upstreams get nothing.
+    void setEvacuated(std::set<std::string, std::less<>> domains, base::TimePoint now);
+
+    /// Removes what has lapsed.
+    void advance(base::TimePoint now);
+
+    /// All upstreams of a service, unusable ones included; stable until the next change.
+    const std::vector<Pointer> &ofService(std::string_view service) const;
+
+    /// May get requests: reported ready, in no evacuated failure domain.
+    bool usable(const Upstream &upstream) const
+    {
+        return !upstream.gone && !upstream.report.draining && !m_evacuated.contains(upstream.report.failureDomain);
+    }
+
+    /// Avoided because of failures; gets a trial request now and then.
+    bool avoided(const Upstream &upstream, base::TimePoint now) const;
+
+    /// True if an avoided upstream may get a trial request now.
+    bool trialDue(const Upstream &upstream, base::TimePoint now) const;
+
+    /// Requests at the upstream, of all instances as far as known.
+    double load(const Upstream &upstream, base::TimePoint now) const;
+
+    void sent(Upstream &upstream, base::TimePoint now);
+    void loadStated(Upstream &upstream, const LoadFigure &figure, base::TimePoint now) const;
+    void ended(Upstream &upstream, AttemptVerdict verdict, base::Duration took, base::TimePoint now) const;
+
+    std::size_t size() const
+    {
+        return m_upstreams.size();
+    }
+
+    const std::set<std::string, std::less<>> &evacuated() const
+    {
+        return m_evacuated;
+    }
+
+private:
+    void drop(const std::string &id);
+    void decay(Upstream &upstream, base::TimePoint now) const;
+
+    BookOptions m_options;
+    std::map<std::string, std::string, std::less<>> m_regions;
+    std::map<std::string, base::Duration, std::less<>> m_warmUp; ///< by service
+    std::map<std::string, Pointer, std::less<>> m_upstreams; ///< by id
+    std::map<std::string, std::vector<Pointer>, std::less<>> m_services;
+    std::set<std::string, std::less<>> m_evacuated;
+    bool m_available = false;
+    base::TimePoint m_availableSince;
+};
+
+} // namespace trefoilstile::ingress
--- a/include/trefoilstile/platform/circuit_breaker.hpp
+++ b/include/trefoilstile/tablestore/circuit_breaker.hpp
@@ -7,7 +7,7 @@
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/base/time.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 struct CircuitBreakerOptions {
@@ -71,4 +71,4 @@
     std::uint64_t m_epoch{}; ///< changes with the state, so that outcomes of requests from before are ignored
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/claim_store.hpp
+++ b/include/trefoilstile/tablestore/claim_store.hpp
@@ -6,9 +6,9 @@
 #include <string_view>
 
 #include "trefoilstile/engine/event.hpp"
-#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/tablestore/store.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// Operations on claims; keeps no state. The key of a row is `<environment>.<hash of the caller's key>`.
@@ -33,4 +33,4 @@
     Store *m_store;
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/document_store.hpp
+++ b/include/trefoilstile/tablestore/document_store.hpp
@@ -6,10 +6,10 @@
 #include <string_view>
 #include <vector>
 
-#include "trefoilstile/platform/store.hpp"
-#include "trefoilstile/platform/submission.hpp"
+#include "trefoilstile/tablestore/store.hpp"
+#include "trefoilstile/tablestore/submission.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// Row `documents/<environment>`.
@@ -54,4 +54,4 @@
     Store *m_store;
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/drain_store.hpp
+++ b/include/trefoilstile/tablestore/drain_store.hpp
@@ -8,10 +8,10 @@
 #include <vector>
 
 #include "trefoilstile/engine/event.hpp"
-#include "trefoilstile/platform/store.hpp"
-#include "trefoilstile/platform/submission.hpp"
+#include "trefoilstile/tablestore/store.hpp"
+#include "trefoilstile/tablestore/submission.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// Name of the kind as it stands in rows: `upstream`, `entry`, `failure_domain` or `region`.
@@ -67,4 +67,4 @@
     Store *m_store;
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/error.hpp
+++ b/include/trefoilstile/tablestore/error.hpp
@@ -3,7 +3,7 @@
 
 #include "trefoilstile/base/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// Base of the errors of this module.
@@ -41,4 +41,4 @@
     using PlatformError::PlatformError;
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/http_connection.hpp
+++ b/include/trefoilstile/tablestore/http_connection.hpp
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "trefoilstile/base/time.hpp"
-#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/tablestore/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// Address of a TCP server.
@@ -87,4 +87,4 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/platform_client.hpp
+++ b/include/trefoilstile/tablestore/platform_client.hpp
@@ -6,12 +6,12 @@
 #include <functional>
 
 #include "trefoilstile/base/random.hpp"
-#include "trefoilstile/platform/circuit_breaker.hpp"
-#include "trefoilstile/platform/http_connection.hpp"
-#include "trefoilstile/platform/purpose_budgets.hpp"
-#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/tablestore/circuit_breaker.hpp"
+#include "trefoilstile/tablestore/http_connection.hpp"
+#include "trefoilstile/tablestore/purpose_budgets.hpp"
+#include "trefoilstile/tablestore/store.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 struct PlatformClientOptions {
@@ -58,4 +58,4 @@
     std::atomic<BreakerState> m_breakerState{BreakerState::Closed};
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/purpose.hpp
+++ b/include/trefoilstile/tablestore/purpose.hpp
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// What a request to the platform is for. A lower value takes precedence.
@@ -16,4 +16,4 @@
 
 inline constexpr std::size_t s_purposeCount = 3;
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/purpose_budgets.hpp
+++ b/include/trefoilstile/tablestore/purpose_budgets.hpp
@@ -6,9 +6,9 @@
 #include <optional>
 
 #include "trefoilstile/base/time.hpp"
-#include "trefoilstile/platform/purpose.hpp"
+#include "trefoilstile/tablestore/purpose.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 enum class Access : std::uint8_t { Read, Write };
@@ -52,4 +52,4 @@
     std::optional<base::TimePoint> m_last; ///< time up to which tokens have been added
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/store.hpp
+++ b/include/trefoilstile/tablestore/store.hpp
@@ -9,9 +9,9 @@
 
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/base/time.hpp"
-#include "trefoilstile/platform/purpose.hpp"
+#include "trefoilstile/tablestore/purpose.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// Row of a table.
@@ -87,4 +87,4 @@
     Store &operator=(const Store &) = default;
 };
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/include/trefoilstile/platform/submission.hpp
+++ b/include/trefoilstile/tablestore/submission.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "trefoilstile/base/ids.hpp"
-#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/tablestore/store.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// Generations that a row keeps, the one in effect included. At 1,800 changes a day they cover 25 minutes on average,
@@ -74,4 +74,4 @@
 /// this module.
 SubmitResult settle(Store &store, PendingWrite pending, const Call &call);
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/ctl/arguments.cpp
+++ b/src/ctl/arguments.cpp
@@ -11,7 +11,7 @@
 
 #include "trefoilstile/base/ip.hpp"
 #include "trefoilstile/ctl/commands.hpp"
-#include "trefoilstile/platform/drain_store.hpp"
+#include "trefoilstile/tablestore/drain_store.hpp"
 
 namespace trefoilstile::ctl
 {
@@ -94,9 +94,9 @@
     return commands.at(name);
 }
 
-platform::Endpoint endpoint(const std::string &flag, const std::string &text)
+tablestore::Endpoint endpoint(const std::string &flag, const std::string &text)
 {
-    const auto parsed = platform::parseEndpoint(text);
+    const auto parsed = tablestore::parseEndpoint(text);
     if (!parsed) {
         throw InvalidArgument{fmt::format("{} {}: must be IP:port", flag, text)};
     }
@@ -137,7 +137,7 @@
     case Command::Drain:
     case Command::Undrain: {
         checkEnvironment("--env", arguments.environment);
-        const auto kind = platform::drainKindFromString(raw.kind);
+        const auto kind = tablestore::drainKindFromString(raw.kind);
         if (!kind) {
             throw InvalidArgument{fmt::format("kind {}: must be upstream, entry, failure-domain or region", raw.kind)};
         }
--- a/src/ctl/command_support.hpp
+++ b/src/ctl/command_support.hpp
@@ -8,8 +8,8 @@
 
 #include "trefoilstile/ctl/commands.hpp"
 #include "trefoilstile/document/steering_document.hpp"
-#include "trefoilstile/platform/error.hpp"
-#include "trefoilstile/platform/submission.hpp"
+#include "trefoilstile/tablestore/error.hpp"
+#include "trefoilstile/tablestore/submission.hpp"
 
 namespace trefoilstile::ctl
 {
@@ -27,7 +27,7 @@
 Report unknown(Report report, std::string message);
 
 /// Settles a write until its outcome is known or the deadline has passed. The result is `Unsettled` only in that case.
-platform::SubmitResult settleUntil(Context &context, platform::SubmitResult result, base::TimePoint deadline);
+tablestore::SubmitResult settleUntil(Context &context, tablestore::SubmitResult result, base::TimePoint deadline);
 
 /// Failure domains that must have an instance in the environment: in production those of the document.
 std::vector<std::string> requiredDomains(const Context &context, std::string_view environment, const document::SteeringDocument &document);
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -7,8 +7,8 @@
 #include <fmt/format.h>
 
 #include "command_support.hpp"
-#include "trefoilstile/platform/document_store.hpp"
-#include "trefoilstile/platform/http_connection.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
+#include "trefoilstile/tablestore/http_connection.hpp"
 
 namespace trefoilstile::ctl
 {
@@ -24,15 +24,15 @@
 /// Limit for the response of an operator port.
 constexpr base::Duration s_portLimit = std::chrono::seconds(2);
 
-RowState readRow(platform::Store &store, const EffectTarget &target)
+RowState readRow(tablestore::Store &store, const EffectTarget &target)
 {
     try {
         if (target.kind == EffectTarget::Kind::Drains) {
-            return {platform::DrainStore(store).row(target.environment).generation, {}};
+            return {tablestore::DrainStore(store).row(target.environment).generation, {}};
         }
-        const std::optional<platform::DocumentRow> row = platform::DocumentStore(store).row(target.environment);
+        const std::optional<tablestore::DocumentRow> row = tablestore::DocumentStore(store).row(target.environment);
         return {row ? row->generation : base::Generation{}, {}};
-    } catch (const platform::PlatformError &error) {
+    } catch (const tablestore::PlatformError &error) {
         return {std::nullopt, error.what()};
     }
 }
@@ -113,15 +113,15 @@
     return report;
 }
 
-platform::SubmitResult settleUntil(Context &context, platform::SubmitResult result, base::TimePoint deadline)
+tablestore::SubmitResult settleUntil(Context &context, tablestore::SubmitResult result, base::TimePoint deadline)
 {
-    while (auto *unsettled = std::get_if<platform::Unsettled>(&result)) {
+    while (auto *unsettled = std::get_if<tablestore::Unsettled>(&result)) {
         const base::TimePoint now = context.pacer.now();
         if (now >= deadline) {
             break;
         }
         context.pacer.sleep(std::min(s_settlePeriod, deadline - now));
-        result = platform::settle(context.store, std::move(unsettled->pending), {});
+        result = tablestore::settle(context.store, std::move(unsettled->pending), {});
     }
     return result;
 }
@@ -194,10 +194,10 @@
 {
     Report report = newReport("history");
     report.json["environment"] = environment;
-    std::optional<platform::DocumentRow> row;
+    std::optional<tablestore::DocumentRow> row;
     try {
-        row = platform::DocumentStore(context.store).row(environment);
-    } catch (const platform::PlatformError &error) {
+        row = tablestore::DocumentStore(context.store).row(environment);
+    } catch (const tablestore::PlatformError &error) {
         return unknown(std::move(report), error.what());
     }
     report.json["history"] = ordered_json::array();
@@ -217,7 +217,7 @@
 Report explain(Context &context, std::string_view service, std::string_view client)
 {
     Report report = newReport("explain");
-    const std::string target = fmt::format("/v1/explain?service={}&client={}", platform::percentEncoded(service), platform::percentEncoded(client));
+    const std::string target = fmt::format("/v1/explain?service={}&client={}", tablestore::percentEncoded(service), tablestore::percentEncoded(client));
     for (std::size_t index = 0; index < context.ports.count(); ++index) {
         const PortAnswer answer = context.ports.get(index, target, s_portLimit);
         if (answer.status == 0 || answer.status >= 500) {
--- a/src/ctl/commands_test.cpp
+++ b/src/ctl/commands_test.cpp
@@ -9,10 +9,10 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
-#include "../platform/fake_store.hpp"
+#include "../tablestore/fake_store.hpp"
 #include "fakes.hpp"
 #include "trefoilstile/document/parse.hpp"
-#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
 
 using namespace trefoilstile;
 using namespace trefoilstile::ctl;
@@ -20,8 +20,8 @@
 using ctl::testing::FakePacer;
 using ctl::testing::FakePorts;
 using ctl::testing::statusJson;
-using platform::testing::FakeStore;
-using platform::testing::Fault;
+using tablestore::testing::FakeStore;
+using tablestore::testing::Fault;
 using namespace std::chrono_literals;
 
 namespace
@@ -115,18 +115,18 @@
     void acceptInStore(int count)
     {
         for (int i = 0; i < count; ++i) {
-            platform::DocumentStore(store).submit({"trial", "earlier" + std::to_string(++submissions), s_document, ""});
+            tablestore::DocumentStore(store).submit({"trial", "earlier" + std::to_string(++submissions), s_document, ""});
         }
     }
 
-    ExitStatus drain(platform::DrainChange::Action action, engine::DrainKind kind, const std::string &name)
+    ExitStatus drain(tablestore::DrainChange::Action action, engine::DrainKind kind, const std::string &name)
     {
         return changeDrain(context, "trial", {action, {kind, name}}).status;
     }
 };
 
-constexpr auto s_add = platform::DrainChange::Action::Add;
-constexpr auto s_remove = platform::DrainChange::Action::Remove;
+constexpr auto s_add = tablestore::DrainChange::Action::Add;
+constexpr auto s_remove = tablestore::DrainChange::Action::Remove;
 
 } // namespace
 
@@ -163,7 +163,7 @@
     int requests = 0;
     store.beforeRequest = [&] {
         if (++requests == 3) {
-            platform::DocumentStore(store).submit({"trial", "other", "x", ""});
+            tablestore::DocumentStore(store).submit({"trial", "other", "x", ""});
         }
     };
     const Report report = apply(context, "trial", s_document, "f");
@@ -193,10 +193,10 @@
     BOOST_TEST(promote(context, "trial", "production", std::string(64, '0')).status == ExitStatus::Rejected);
     const std::string hash = document::contentHash(s_document);
     BOOST_TEST(promote(context, "trial", "production", hash).status == ExitStatus::Done);
-    BOOST_TEST(platform::DocumentStore(store).row("production")->hash == hash);
+    BOOST_TEST(tablestore::DocumentStore(store).row("production")->hash == hash);
     store.objects[hash] += "\n";
     BOOST_TEST(promote(context, "trial", "production", {}).status == ExitStatus::Rejected);
-    platform::DocumentStore(store).submit({"trial", "other", "[", ""});
+    tablestore::DocumentStore(store).submit({"trial", "other", "[", ""});
     BOOST_TEST(promote(context, "trial", "production", {}).status == ExitStatus::Rejected);
     BOOST_TEST(store.log["documents/production"].size() == 1U);
 }
@@ -227,7 +227,7 @@
         BOOST_TEST(unknownName.status == ExitStatus::Rejected);
         BOOST_TEST(unknownName.json["known"][0] == name);
     }
-    BOOST_TEST(platform::DrainStore(store).row("trial").drains.size() == 4U);
+    BOOST_TEST(tablestore::DrainStore(store).row("trial").drains.size() == 4U);
     BOOST_TEST(drain(s_remove, DrainKind::Region, "north") == ExitStatus::Done);
     report("trial", 1);
     BOOST_TEST(drain(s_add, DrainKind::Region, "north") == ExitStatus::Unknown);
--- a/src/ctl/drain_command.cpp
+++ b/src/ctl/drain_command.cpp
@@ -8,7 +8,7 @@
 
 #include "command_support.hpp"
 #include "trefoilstile/document/parse.hpp"
-#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
 
 namespace trefoilstile::ctl
 {
@@ -17,12 +17,12 @@
 {
 
 using Names = std::set<std::string>;
-using platform::DrainChange;
+using tablestore::DrainChange;
 
 std::optional<document::SteeringDocument> documentInEffect(Context &context, std::string_view environment)
 {
-    platform::DocumentStore documents(context.store);
-    const std::optional<platform::DocumentRow> row = documents.row(environment);
+    tablestore::DocumentStore documents(context.store);
+    const std::optional<tablestore::DocumentRow> row = documents.row(environment);
     if (!row) {
         return std::nullopt;
     }
@@ -70,7 +70,7 @@
 Names drainedNames(Context &context, std::string_view environment, engine::DrainKind kind)
 {
     Names names;
-    for (const engine::Drain &drain : platform::DrainStore(context.store).row(environment).drains) {
+    for (const engine::Drain &drain : tablestore::DrainStore(context.store).row(environment).drains) {
         if (drain.kind == kind) {
             names.insert(drain.name);
         }
@@ -97,7 +97,7 @@
 
 Report rejectedName(Report report, const DrainChange &change, const Names &allowed)
 {
-    const std::string_view kind = platform::toString(change.drain.kind);
+    const std::string_view kind = tablestore::toString(change.drain.kind);
     const bool adds = change.action == DrainChange::Action::Add;
     report.json[adds ? "known" : "drained"] = allowed;
     return rejected(std::move(report),
@@ -110,7 +110,7 @@
 }
 
 /// Makes the change, starting anew when a lost answer turns out to be a lost race.
-platform::DrainResult makeChange(Context &context,
+tablestore::DrainResult makeChange(Context &context,
     std::string_view environment,
     const DrainChange &change,
     const std::string &submission,
@@ -118,16 +118,16 @@
     base::TimePoint deadline)
 {
     for (;;) {
-        platform::DrainResult result = platform::DrainStore(context.store).change(environment, change, submission, highestInEffect);
-        auto *unsettled = std::get_if<platform::Unsettled>(&result);
+        tablestore::DrainResult result = tablestore::DrainStore(context.store).change(environment, change, submission, highestInEffect);
+        auto *unsettled = std::get_if<tablestore::Unsettled>(&result);
         if (unsettled == nullptr) {
             return result;
         }
-        platform::SubmitResult settled = settleUntil(context, std::move(*unsettled), deadline);
-        if (const auto *accepted = std::get_if<platform::Accepted>(&settled)) {
-            return platform::DrainApplied{accepted->generation, true, accepted->previous};
+        tablestore::SubmitResult settled = settleUntil(context, std::move(*unsettled), deadline);
+        if (const auto *accepted = std::get_if<tablestore::Accepted>(&settled)) {
+            return tablestore::DrainApplied{accepted->generation, true, accepted->previous};
         }
-        if (auto *stillUnsettled = std::get_if<platform::Unsettled>(&settled)) {
+        if (auto *stillUnsettled = std::get_if<tablestore::Unsettled>(&settled)) {
             return std::move(*stillUnsettled);
         }
     }
@@ -146,11 +146,11 @@
     const std::string submission = context.newSubmissionId();
     Report report = newReport(adds ? "drain" : "undrain");
     report.json["environment"] = environment;
-    report.json["kind"] = platform::toString(change.drain.kind);
+    report.json["kind"] = tablestore::toString(change.drain.kind);
     report.json["name"] = change.drain.name;
 
     std::optional<document::SteeringDocument> document;
-    std::optional<platform::DrainResult> result;
+    std::optional<tablestore::DrainResult> result;
     try {
         document = documentInEffect(context, environment);
         const Names allowed = allowedNames(context, environment, change, document, views);
@@ -161,14 +161,14 @@
     } catch (const base::Error &error) {
         return rejected(std::move(report), fmt::format("not changed: {}", error.what()));
     }
-    if (const auto *unsettled = std::get_if<platform::Unsettled>(&*result)) {
+    if (const auto *unsettled = std::get_if<tablestore::Unsettled>(&*result)) {
         return unknown(std::move(report), fmt::format("not known whether submission {} was accepted: {}", submission, unsettled->reason));
     }
-    const auto applied = std::get<platform::DrainApplied>(*result);
+    const auto applied = std::get<tablestore::DrainApplied>(*result);
     report.json["drain_generation"] = applied.generation.value;
     report.json["submission"] = applied.changed ? nlohmann::ordered_json(submission) : nlohmann::ordered_json();
     report.say(fmt::format("{} {} {} in {}, drain generation {}",
-        platform::toString(change.drain.kind),
+        tablestore::toString(change.drain.kind),
         change.drain.name,
         applied.changed ? (adds ? "is drained" : "is no longer drained") : (adds ? "was drained before" : "was not drained"),
         environment,
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -13,7 +13,7 @@
 
 #include "trefoilstile/ctl/arguments.hpp"
 #include "trefoilstile/ctl/commands.hpp"
-#include "trefoilstile/platform/platform_client.hpp"
+#include "trefoilstile/tablestore/platform_client.hpp"
 
 using namespace trefoilstile;
 
@@ -50,10 +50,10 @@
 class HttpOperatorPorts final : public ctl::OperatorPorts
 {
 public:
-    explicit HttpOperatorPorts(const std::vector<platform::Endpoint> &endpoints)
+    explicit HttpOperatorPorts(const std::vector<tablestore::Endpoint> &endpoints)
     {
-        for (const platform::Endpoint &endpoint : endpoints) {
-            m_ports.push_back({fmt::format("{}:{}", endpoint.address, endpoint.port), std::make_unique<platform::HttpConnection>(endpoint)});
+        for (const tablestore::Endpoint &endpoint : endpoints) {
+            m_ports.push_back({fmt::format("{}:{}", endpoint.address, endpoint.port), std::make_unique<tablestore::HttpConnection>(endpoint)});
         }
     }
 
@@ -66,9 +66,9 @@
     {
         Port &port = m_ports.at(index);
         try {
-            platform::HttpResponse response = port.connection->exchange({"GET", target, {}, {}, true}, limit);
+            tablestore::HttpResponse response = port.connection->exchange({"GET", target, {}, {}, true}, limit);
             return {port.address, response.status, std::move(response.body)};
-        } catch (const platform::PlatformError &error) {
+        } catch (const tablestore::PlatformError &error) {
             return {port.address, 0, error.what()};
         }
     }
@@ -76,7 +76,7 @@
 private:
     struct Port {
         std::string address;
-        std::unique_ptr<platform::HttpConnection> connection;
+        std::unique_ptr<tablestore::HttpConnection> connection;
     };
 
     std::vector<Port> m_ports;
@@ -95,7 +95,7 @@
 
 ctl::Report run(ctl::Context &context, const ctl::Arguments &arguments, const std::string &document)
 {
-    using Action = platform::DrainChange::Action;
+    using Action = tablestore::DrainChange::Action;
     switch (arguments.command) {
     case ctl::Command::Validate:
         return ctl::validate(document, arguments.file);
@@ -128,7 +128,7 @@
         }
         document = std::move(*contents);
     }
-    platform::PlatformClient store({.endpoint = arguments.platform.value_or(platform::Endpoint{})}, processNow, randomBits());
+    tablestore::PlatformClient store({.endpoint = arguments.platform.value_or(tablestore::Endpoint{})}, processNow, randomBits());
     HttpOperatorPorts ports(arguments.operators);
     ProcessPacer pacer;
     ctl::Context context{store,
--- a/src/ctl/submit_command.cpp
+++ b/src/ctl/submit_command.cpp
@@ -4,7 +4,7 @@
 
 #include "command_support.hpp"
 #include "trefoilstile/document/parse.hpp"
-#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
 
 namespace trefoilstile::ctl
 {
@@ -26,9 +26,9 @@
     return report;
 }
 
-Report concludeLostRace(Report report, const platform::LostRace &lost)
+Report concludeLostRace(Report report, const tablestore::LostRace &lost)
 {
-    const platform::HistoryEntry &winner = lost.winner;
+    const tablestore::HistoryEntry &winner = lost.winner;
     if (winner.generation.value == 0) {
         return rejected(std::move(report), "not accepted: the row was changed by someone else");
     }
@@ -44,25 +44,25 @@
     const base::Generation highestInEffect = highestGeneration(pollStatus(context.ports, environment, s_submissionPollLimit), EffectTarget::Kind::Document);
     const base::TimePoint deadline = context.pacer.now() + context.wait;
     const std::string hash = document::contentHash(bytes);
-    const platform::Submission submission{std::string(environment), context.newSubmissionId(), std::string(bytes), context.wallClock()};
+    const tablestore::Submission submission{std::string(environment), context.newSubmissionId(), std::string(bytes), context.wallClock()};
     report.json["environment"] = environment;
     report.json["hash"] = hash;
     report.json["submission"] = submission.id;
 
-    std::optional<platform::SubmitResult> result;
+    std::optional<tablestore::SubmitResult> result;
     try {
-        result = platform::DocumentStore(context.store).submit(submission, highestInEffect);
-    } catch (const platform::PlatformError &error) {
+        result = tablestore::DocumentStore(context.store).submit(submission, highestInEffect);
+    } catch (const tablestore::PlatformError &error) {
         return rejected(std::move(report), fmt::format("not accepted: {}", error.what()));
     }
     result = settleUntil(context, std::move(*result), deadline);
-    if (const auto *lost = std::get_if<platform::LostRace>(&*result)) {
+    if (const auto *lost = std::get_if<tablestore::LostRace>(&*result)) {
         return concludeLostRace(std::move(report), *lost);
     }
-    if (const auto *unsettled = std::get_if<platform::Unsettled>(&*result)) {
+    if (const auto *unsettled = std::get_if<tablestore::Unsettled>(&*result)) {
         return unknown(std::move(report), fmt::format("not known whether submission {} was accepted: {}", submission.id, unsettled->reason));
     }
-    const auto accepted = std::get<platform::Accepted>(*result);
+    const auto accepted = std::get<tablestore::Accepted>(*result);
     const base::Generation generation = accepted.generation;
     report.json["generation"] = generation.value;
     report.say(fmt::format("accepted in {} as generation {}, hash {}, submission {}", environment, generation.value, hash, submission.id));
@@ -106,8 +106,8 @@
     report.json["from"] = from;
     std::string bytes;
     try {
-        platform::DocumentStore documents(context.store);
-        const std::optional<platform::DocumentRow> row = documents.row(from);
+        tablestore::DocumentStore documents(context.store);
+        const std::optional<tablestore::DocumentRow> row = documents.row(from);
         if (!row) {
             return rejected(std::move(report), fmt::format("no document has been accepted in {}", from));
         }
@@ -116,7 +116,7 @@
             return rejected(std::move(report), fmt::format("refused: generation {} of {} has the hash {}", row->generation.value, from, row->hash));
         }
         bytes = documents.bytes(row->hash);
-    } catch (const platform::PlatformError &error) {
+    } catch (const tablestore::PlatformError &error) {
         return rejected(std::move(report), fmt::format("refused: {}", error.what()));
     }
     try {
--- a/src/daemon/drains_text.cpp
+++ b/src/daemon/drains_text.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "trefoilstile/platform/drain_store.hpp"
+#include "trefoilstile/tablestore/drain_store.hpp"
 
 namespace trefoilstile::daemon
 {
@@ -13,7 +13,7 @@
 {
     nlohmann::json list = nlohmann::json::array();
     for (const engine::Drain &drain : drains) {
-        list.push_back({{"kind", platform::toString(drain.kind)}, {"name", drain.name}});
+        list.push_back({{"kind", tablestore::toString(drain.kind)}, {"name", drain.name}});
     }
     return list.dump();
 }
@@ -23,7 +23,7 @@
     try {
         std::vector<engine::Drain> drains;
         for (const nlohmann::json &item : nlohmann::json::parse(text)) {
-            const auto kind = platform::drainKindFromString(item.at("kind").get<std::string>());
+            const auto kind = tablestore::drainKindFromString(item.at("kind").get<std::string>());
             if (!kind) {
                 throw MalformedDrains("unknown kind of drain");
             }
--- a/src/daemon/endpoint.cpp
+++ b/src/daemon/endpoint.cpp
@@ -1,6 +1,6 @@
 // Parsing and printing of `IP:port`.
 
-#include "endpoint.hpp"
+#include "trefoilstile/daemon/endpoint.hpp"
 
 #include <charconv>
 
--- a/src/daemon/frame_connection.cpp
+++ b/src/daemon/frame_connection.cpp
@@ -1,6 +1,6 @@
 // Reading and writing of frames with a bound on size and time.
 
-#include "frame_connection.hpp"
+#include "trefoilstile/daemon/frame_connection.hpp"
 
 #include <utility>
 
--- a/src/daemon/peer_duty.cpp
+++ b/src/daemon/peer_duty.cpp
@@ -174,11 +174,11 @@
 
 void PeerDuty::run(const InstanceList &list)
 {
-    for (const platform::ListedInstance &instance : list.instances) {
+    for (const tablestore::ListedInstance &instance : list.instances) {
         if (!instance.leaving) {
             continue;
         }
-        if (instance.kind == platform::ListedInstance::Kind::Upstream) {
+        if (instance.kind == tablestore::ListedInstance::Kind::Upstream) {
             m_outputs.decisions->push(engine::Event(engine::UpstreamListedLeaving{instance.name, instance.incarnation}));
         } else {
             m_detector.markListedLeaving(instance.incarnation);
--- a/src/daemon/peer_duty.hpp
+++ b/src/daemon/peer_duty.hpp
@@ -9,7 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "peer_network.hpp"
+#include "trefoilstile/daemon/peer_network.hpp"
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/daemon/messages.hpp"
--- a/src/daemon/peer_network.cpp
+++ b/src/daemon/peer_network.cpp
@@ -1,13 +1,13 @@
 // Datagrams and transfers between instances. Bytes that do not decode are dropped and counted by the codec.
 
-#include "peer_network.hpp"
+#include "trefoilstile/daemon/peer_network.hpp"
 
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <fmt/format.h>
 
-#include "endpoint.hpp"
+#include "trefoilstile/daemon/endpoint.hpp"
 #include "trefoilstile/daemon/log.hpp"
 #include "trefoilstile/document/parse.hpp"
 #include "trefoilstile/peer/sealed_keys.hpp"
--- a/src/daemon/platform_duty.cpp
+++ b/src/daemon/platform_duty.cpp
@@ -32,10 +32,10 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
-platform::PlatformClientOptions clientOptions(const Settings &settings)
+tablestore::PlatformClientOptions clientOptions(const Settings &settings)
 {
-    platform::PlatformClientOptions options;
-    options.endpoint = platform::parseEndpoint(settings.platformAddress).value();
+    tablestore::PlatformClientOptions options;
+    options.endpoint = tablestore::parseEndpoint(settings.platformAddress).value();
     options.http.connectTimeout = s_connectTimeout;
     options.http.readTimeout = s_readTimeout;
     return options;
@@ -66,25 +66,25 @@
 void PlatformDuty::run(const engine::ClaimKey &claim)
 {
     const std::int64_t expiresAt = wallClockMs() + std::chrono::duration_cast<std::chrono::milliseconds>(s_claimLifetime).count();
-    const platform::Call call{platform::Purpose::Claims, http::now() + claim.timeout};
+    const tablestore::Call call{tablestore::Purpose::Claims, http::now() + claim.timeout};
     const engine::ClaimResult result = m_claims.claim(m_environment, document::contentHash(claim.key), claim.claimId, expiresAt, call);
     m_outputs.decisions->push(engine::Event(engine::ClaimEnded{claim.id, result}));
 }
 
 void PlatformDuty::run(const PollRows &poll)
 {
-    const platform::Call call{platform::Purpose::Documents, http::now() + s_pollLimit};
+    const tablestore::Call call{tablestore::Purpose::Documents, http::now() + s_pollLimit};
     try {
         steering::StoreRows rows;
         if (const auto row = m_documents.row(m_environment, call)) {
             rows.document = {row->generation, row->hash};
         }
-        const platform::DrainRow drains = m_drains.row(m_environment, call);
+        const tablestore::DrainRow drains = m_drains.row(m_environment, call);
         rows.drains = drains.generation;
         rows.drainsBody = drainsToText(drains.drains);
         m_outputs.peers->push(RowsRead{poll.poll, std::move(rows)});
         logChange(true, {});
-    } catch (const platform::PlatformError &error) {
+    } catch (const tablestore::PlatformError &error) {
         m_outputs.peers->push(RowsFailed{poll.poll});
         logChange(false, error.what());
     }
@@ -107,12 +107,12 @@
 {
     ObjectFetched fetched{fetch.fetch, steering::FetchResult::Failed, {}};
     try {
-        fetched.bytes = m_documents.bytes(fetch.hash, {platform::Purpose::Documents, http::now() + s_fetchLimit});
+        fetched.bytes = m_documents.bytes(fetch.hash, {tablestore::Purpose::Documents, http::now() + s_fetchLimit});
         fetched.result = steering::FetchResult::Found;
-    } catch (const platform::MalformedData &error) {
+    } catch (const tablestore::MalformedData &error) {
         fetched.result = steering::FetchResult::Absent;
         log("platform", "Document {} is not in the object store as it should be: {}", fetch.hash, error.what());
-    } catch (const platform::PlatformError &error) {
+    } catch (const tablestore::PlatformError &error) {
         log("platform", "Document {} could not be fetched: {}", fetch.hash, error.what());
     }
     m_outputs.peers->push(fetched);
@@ -133,8 +133,8 @@
 void PlatformDuty::run(const PollInstances &)
 {
     try {
-        m_outputs.peers->tryPush(InstanceList{m_client.instances({platform::Purpose::Statistics, http::now() + s_pollLimit})});
-    } catch (const platform::PlatformError &) {
+        m_outputs.peers->tryPush(InstanceList{m_client.instances({tablestore::Purpose::Statistics, http::now() + s_pollLimit})});
+    } catch (const tablestore::PlatformError &) {
         return; // the list is one source among several and is read again soon
     }
 }
--- a/src/daemon/platform_duty.hpp
+++ b/src/daemon/platform_duty.hpp
@@ -7,10 +7,10 @@
 #include "trefoilstile/daemon/messages.hpp"
 #include "trefoilstile/daemon/ring.hpp"
 #include "trefoilstile/daemon/settings.hpp"
-#include "trefoilstile/platform/claim_store.hpp"
-#include "trefoilstile/platform/document_store.hpp"
-#include "trefoilstile/platform/drain_store.hpp"
-#include "trefoilstile/platform/platform_client.hpp"
+#include "trefoilstile/tablestore/claim_store.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
+#include "trefoilstile/tablestore/drain_store.hpp"
+#include "trefoilstile/tablestore/platform_client.hpp"
 
 namespace trefoilstile::daemon
 {
@@ -39,10 +39,10 @@
     void logChange(bool reachable, std::string_view reason);
 
     std::string m_environment;
-    platform::PlatformClient m_client;
-    platform::DocumentStore m_documents;
-    platform::DrainStore m_drains;
-    platform::ClaimStore m_claims;
+    tablestore::PlatformClient m_client;
+    tablestore::DocumentStore m_documents;
+    tablestore::DrainStore m_drains;
+    tablestore::ClaimStore m_claims;
     PlatformOutputs m_outputs;
     bool m_reachable = true;
 };
--- a/src/daemon/reporting_duty.cpp
+++ b/src/daemon/reporting_duty.cpp
@@ -20,14 +20,14 @@
     }
 };
 
-const char *breakerName(platform::BreakerState state)
+const char *breakerName(tablestore::BreakerState state)
 {
     switch (state) {
-    case platform::BreakerState::Closed:
+    case tablestore::BreakerState::Closed:
         return "closed";
-    case platform::BreakerState::Open:
+    case tablestore::BreakerState::Open:
         return "open";
-    case platform::BreakerState::HalfOpen:
+    case tablestore::BreakerState::HalfOpen:
         return "half_open";
     }
     return "unknown";
@@ -113,7 +113,7 @@
 void ReportingDuty::record(const PlatformStatus &status)
 {
     m_platform = status;
-    for (const platform::BreakerState state : {platform::BreakerState::Closed, platform::BreakerState::Open, platform::BreakerState::HalfOpen}) {
+    for (const tablestore::BreakerState state : {tablestore::BreakerState::Closed, tablestore::BreakerState::Open, tablestore::BreakerState::HalfOpen}) {
         m_registry.set("trefoilstile_platform_breaker", {{"state", breakerName(state)}}, state == status.breaker ? 1 : 0);
     }
 }
--- a/src/http/arrival.hpp
+++ b/src/http/arrival.hpp
@@ -3,7 +3,7 @@
 
 #include <optional>
 
-#include "message.hpp"
+#include "trefoilstile/http/message.hpp"
 #include "trefoilstile/engine/command.hpp"
 #include "trefoilstile/engine/event.hpp"
 
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -9,7 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
-#include "listener.hpp"
+#include "trefoilstile/http/listener.hpp"
 #include "server_core.hpp"
 #include "trefoilstile/http/upstream_client.hpp"
 
--- a/src/http/caller_session.hpp
+++ b/src/http/caller_session.hpp
@@ -11,9 +11,9 @@
 #include <span>
 #include <string>
 
-#include "connection.hpp"
+#include "trefoilstile/http/connection.hpp"
 #include "exchange.hpp"
-#include "message.hpp"
+#include "trefoilstile/http/message.hpp"
 #include "trefoilstile/base/ip.hpp"
 #include "trefoilstile/http/caller_server.hpp"
 
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -1,4 +1,4 @@
-#include "connection.hpp"
+#include "trefoilstile/http/connection.hpp"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +9,7 @@
 #include <fmt/format.h>
 #include <poll.h>
 
-#include "message.hpp"
+#include "trefoilstile/http/message.hpp"
 #include "trefoilstile/http/error.hpp"
 
 namespace trefoilstile::http
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "connection.hpp"
+#include "trefoilstile/http/connection.hpp"
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/http/upstream_client.hpp"
 
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -6,8 +6,8 @@
 #include <optional>
 #include <string>
 
-#include "message.hpp"
-#include "request_reader.hpp"
+#include "trefoilstile/http/message.hpp"
+#include "trefoilstile/http/request_reader.hpp"
 #include "trefoilstile/base/ids.hpp"
 
 namespace trefoilstile::http
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -1,4 +1,4 @@
-#include "listener.hpp"
+#include "trefoilstile/http/listener.hpp"
 
 #include <utility>
 
--- a/src/http/load_poller.cpp
+++ b/src/http/load_poller.cpp
@@ -10,8 +10,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
-#include "connection.hpp"
-#include "response_reader.hpp"
+#include "trefoilstile/http/connection.hpp"
+#include "trefoilstile/http/response_reader.hpp"
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/http/error.hpp"
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,4 +1,4 @@
-#include "message.hpp"
+#include "trefoilstile/http/message.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/http/operator_server.cpp
+++ b/src/http/operator_server.cpp
@@ -8,9 +8,9 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
-#include "connection.hpp"
-#include "listener.hpp"
-#include "request_reader.hpp"
+#include "trefoilstile/http/connection.hpp"
+#include "trefoilstile/http/listener.hpp"
+#include "trefoilstile/http/request_reader.hpp"
 #include "server_core.hpp"
 
 namespace trefoilstile::http
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -1,4 +1,4 @@
-#include "request_reader.hpp"
+#include "trefoilstile/http/request_reader.hpp"
 
 #include <algorithm>
 
--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -1,4 +1,4 @@
-#include "response_reader.hpp"
+#include "trefoilstile/http/response_reader.hpp"
 
 #include <limits>
 #include <optional>
--- a/src/http/service_test.cpp
+++ b/src/http/service_test.cpp
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
-#include "message.hpp"
+#include "trefoilstile/http/message.hpp"
 #include "test_support.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/http/error.hpp"
--- a/src/http/test_support.cpp
+++ b/src/http/test_support.cpp
@@ -12,7 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "message.hpp"
+#include "trefoilstile/http/message.hpp"
 
 namespace trefoilstile::http::testing
 {
--- a/src/http/upstream_call.hpp
+++ b/src/http/upstream_call.hpp
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "connection_pool.hpp"
-#include "response_reader.hpp"
+#include "trefoilstile/http/response_reader.hpp"
 
 namespace trefoilstile::http
 {
--- /dev/null
+++ b/src/ingress/placement.cpp
@@ -0,0 +1,185 @@
+// Ranking of upstreams by key, and the choice among them by believed load.
+
+#include "trefoilstile/ingress/placement.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "trefoilstile/base/random.hpp"
+
+namespace trefoilstile::ingress
+{
+
+namespace
+{
+
+/// Point of a key in [0, 1) for the split over regions; independent of the ranking within a region.
+double pointOf(std::uint64_t key)
+{
+    constexpr double scale = 1.0 / static_cast<double>(1ULL << 53U);
+    return static_cast<double>(base::mixBits(key ^ 0x5bd1e995c1a4f36bULL) >> 11U) * scale;
+}
+
+bool mayServe(const Route &route, const std::string &region)
+{
+    return route.homeRegions.empty() || std::find(route.homeRegions.begin(), route.homeRegions.end(), region) != route.homeRegions.end();
+}
+
+} // namespace
+
+Placement::ServiceState &Placement::state(std::string_view service)
+{
+    auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        found = m_services.emplace(std::string(service), ServiceState{RegionSplit(), SpillLimit(m_options.spillShare), {}}).first;
+    }
+    return found->second;
+}
+
+void Placement::advance(const Configuration &configuration, base::TimePoint now)
+{
+    for (const auto &[name, service] : configuration.services) {
+        RegionCapacities regions;
+        for (const auto &[region, demand] : m_demand) {
+            regions[region].demand = demand;
+        }
+        bool known = false;
+        for (const UpstreamBook::Pointer &upstream : m_book.ofService(name)) {
+            if (m_book.usable(*upstream)) {
+                regions[upstream->region].capacity += upstream->report.slots;
+                known = true;
+            }
+        }
+        ServiceState &serviceState = state(name);
+        if (known) {
+            serviceState.split.update(m_ownRegion, regions, now);
+        }
+        std::erase_if(serviceState.warmUp, [&](const auto &entry) {
+            const auto &upstreams = m_book.ofService(name);
+            return std::none_of(upstreams.begin(), upstreams.end(), [&](const UpstreamBook::Pointer &upstream) {
+                return upstream.get() == entry.first;
+            });
+        });
+    }
+}
+
+bool Placement::admitsCold(ServiceState &service, const Upstream &upstream, const Configuration &configuration, base::TimePoint now)
+{
+    if (upstream.coldUntil <= now) {
+        return true;
+    }
+    const auto description = configuration.services.find(upstream.report.service);
+    if (description == configuration.services.end()) {
+        return false;
+    }
+    const std::uint64_t own = base::mixBits(m_instanceHash ^ upstream.hash);
+    const auto rank = std::count_if(m_others.begin(), m_others.end(), [&](std::uint64_t other) {
+        return base::mixBits(other ^ upstream.hash) > own;
+    });
+    return service.warmUp[&upstream].tryTake(description->second.warmUpRequestsPerSecond, m_members, static_cast<std::size_t>(rank), now);
+}
+
+Placement::Candidate Placement::candidate(const UpstreamBook::Pointer &upstream, base::TimePoint now) const
+{
+    Candidate result{&upstream, m_book.load(*upstream, now), static_cast<double>(std::max(1U, upstream->report.slots)), {}};
+    const double excess = result.load + 1 - result.slots;
+    if (excess > 0) {
+        const double service = upstream->serviceSeconds > 0 ? upstream->serviceSeconds : base::toSeconds(m_options.assumedServiceTime);
+        result.wait = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(excess / result.slots * service));
+    }
+    return result;
+}
+
+std::vector<const UpstreamBook::Pointer *> Placement::ranked(const PlacementRequest &request, base::TimePoint now) const
+{
+    std::vector<std::pair<std::uint64_t, const UpstreamBook::Pointer *>> weighted;
+    std::vector<std::pair<std::uint64_t, const UpstreamBook::Pointer *>> avoided;
+    for (const UpstreamBook::Pointer &upstream : m_book.ofService(request.service)) {
+        const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), upstream.get()) != request.excluded.end();
+        if (excluded || !m_book.usable(*upstream) || !mayServe(request.route, upstream->region)) {
+            continue;
+        }
+        const std::uint64_t weight = base::mixBits(request.key ^ upstream->hash);
+        (m_book.avoided(*upstream, now) && !m_book.trialDue(*upstream, now) ? avoided : weighted).emplace_back(weight, &upstream);
+    }
+    // With all of them in doubt, any is better than none.
+    auto &chosen = weighted.empty() ? avoided : weighted;
+    std::sort(chosen.begin(), chosen.end(), [](const auto &left, const auto &right) {
+        return left.first > right.first;
+    });
+    std::vector<const UpstreamBook::Pointer *> result;
+    result.reserve(chosen.size());
+    for (const auto &[weight, upstream] : chosen) {
+        result.push_back(upstream);
+    }
+    return result;
+}
+
+PlacementResult Placement::choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now)
+{
+    PlacementResult result;
+    const auto upstreams = ranked(request, now);
+    if (upstreams.empty()) {
+        return result;
+    }
+    ServiceState &service = state(request.service);
+    service.spill.requestPlaced(now);
+    const std::string_view planned = service.split.regionOf(pointOf(request.key));
+    const bool plannedServes = std::any_of(upstreams.begin(), upstreams.end(), [&](const auto *upstream) {
+        return (*upstream)->region == planned;
+    });
+    // Without a usable upstream in the planned region, all others are one group.
+    std::vector<Candidate> local;
+    std::vector<Candidate> remote;
+    for (const auto *upstream : upstreams) {
+        (!plannedServes || (*upstream)->region == planned ? local : remote).push_back(candidate(*upstream, now));
+    }
+    const double queue = std::max(m_options.leastQueuePerSlot, m_options.queuePerSlot - m_options.queueStep * request.route.priority);
+    const auto warmWait = std::chrono::duration_cast<base::Duration>(request.route.latencyObjective * m_options.warmWaitShare);
+    const auto take = [&](const Candidate &candidate, PlacementReason reason) {
+        if (!admitsCold(service, **candidate.upstream, configuration, now)) {
+            return false;
+        }
+        result = {PlacementOutcome::Chosen, reason, *candidate.upstream, candidate.load, {}};
+        return true;
+    };
+    const auto hasSlot = [](const Candidate &candidate) {
+        return candidate.load + 1 <= candidate.slots;
+    };
+    const std::span<const Candidate> warm(local.data(), std::min(local.size(), m_options.warmUpstreams));
+    for (const Candidate &candidate : warm) {
+        if (hasSlot(candidate) && take(candidate, PlacementReason::Warm)) {
+            return result;
+        }
+    }
+    const auto shorterWait = [](const Candidate &left, const Candidate &right) {
+        return left.wait < right.wait;
+    };
+    const auto nearest = std::min_element(warm.begin(), warm.end(), shorterWait);
+    if (nearest != warm.end() && nearest->wait <= warmWait && take(*nearest, PlacementReason::WarmWait)) {
+        return result;
+    }
+    for (const Candidate &candidate : std::span(local).subspan(warm.size())) {
+        if (hasSlot(candidate) && take(candidate, PlacementReason::Free)) {
+            return result;
+        }
+    }
+    const auto free = std::find_if(remote.begin(), remote.end(), hasSlot);
+    if (free != remote.end() && service.spill.tryTake(now) && take(*free, PlacementReason::Spill)) {
+        return result;
+    }
+    std::sort(local.begin(), local.end(), shorterWait);
+    const auto affordable = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
+    for (const Candidate &candidate : local) {
+        const bool fits = candidate.load + 1 <= candidate.slots * (1 + queue);
+        if (fits && candidate.wait <= affordable && take(candidate, PlacementReason::Queue)) {
+            return result;
+        }
+    }
+    result.outcome = PlacementOutcome::NoRoom;
+    result.retryAfter = local.front().wait;
+    return result;
+}
+
+} // namespace trefoilstile::ingress
--- /dev/null
+++ b/src/ingress/upstream_book.cpp
@@ -0,0 +1,201 @@
+// Beliefs about upstreams and how reports and attempts change them.
+
+#include "trefoilstile/ingress/upstream_book.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "trefoilstile/base/ids.hpp"
+
+namespace trefoilstile::ingress
+{
+
+void UpstreamBook::setServices(const Configuration &configuration)
+{
+    m_warmUp.clear();
+    for (const auto &[name, service] : configuration.services) {
+        m_warmUp.emplace(name, service.warmUp);
+    }
+}
+
+bool UpstreamBook::report(const UpstreamReport &report, base::TimePoint now)
+{
+    auto found = m_upstreams.find(report.id);
+    const bool sameRun = found != m_upstreams.end() && found->second->report.startedAt == report.startedAt
+        && found->second->report.service == report.service && found->second->report.address == report.address;
+    if (found != m_upstreams.end() && !sameRun) {
+        drop(report.id);
+        found = m_upstreams.end();
+    }
+    if (found == m_upstreams.end()) {
+        const auto upstream = std::make_shared<Upstream>();
+        upstream->report = report;
+        const auto region = m_regions.find(report.failureDomain);
+        upstream->region = region == m_regions.end() ? std::string() : region->second;
+        upstream->hash = base::stableHash(report.id);
+        upstream->coldUntil = report.warmUpLeft > base::Duration::zero() ? now + report.warmUpLeft + m_options.warmUpMargin : base::TimePoint();
+        m_upstreams.emplace(report.id, upstream);
+        m_services[report.service].push_back(upstream);
+        return true;
+    }
+    Upstream &upstream = *found->second;
+    const bool changed = upstream.report.draining != report.draining || upstream.removeAt.has_value() || report.warmUpLeft > base::Duration::zero();
+    upstream.report = report;
+    upstream.removeAt.reset();
+    if (report.warmUpLeft > base::Duration::zero()) {
+        upstream.coldUntil = now + report.warmUpLeft + m_options.warmUpMargin;
+    }
+    return changed;
+}
+
+void UpstreamBook::remove(std::string_view id, base::TimePoint now)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    Upstream &upstream = *found->second;
+    // The entry of a live upstream lapses while the source is away, and returns soon after the source does.
+    const bool mayHaveLapsed = !m_available || now < m_availableSince + m_options.lapseHold;
+    if (mayHaveLapsed && !upstream.report.draining) {
+        upstream.removeAt = std::max(now, m_availableSince) + m_options.lapseHold;
+        return;
+    }
+    drop(std::string(id));
+}
+
+void UpstreamBook::sourceAvailable(bool available, base::TimePoint now)
+{
+    if (available && !m_available) {
+        m_availableSince = now;
+        for (const auto &[id, upstream] : m_upstreams) {
+            if (upstream->removeAt) {
+                upstream->removeAt = now + m_options.lapseHold;
+            }
+        }
+    }
+    m_available = available;
+}
+
+void UpstreamBook::setEvacuated(std::set<std::string, std::less<>> domains, base::TimePoint now)
+{
+    for (const std::string &domain : m_evacuated) {
+        if (domains.contains(domain)) {
+            continue;
+        }
+        // Upstreams may have become cold during the evacuation, before their reports say so.
+        for (const auto &[id, upstream] : m_upstreams) {
+            const auto warmUp = m_warmUp.find(upstream->report.service);
+            if (upstream->report.failureDomain == domain && warmUp != m_warmUp.end()) {
+                upstream->coldUntil = std::max(upstream->coldUntil, now + warmUp->second);
+            }
+        }
+    }
+    m_evacuated = std::move(domains);
+}
+
+void UpstreamBook::advance(base::TimePoint now)
+{
+    if (!m_available) {
+        return;
+    }
+    std::vector<std::string> lapsed;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream->removeAt && *upstream->removeAt <= now) {
+            lapsed.push_back(id);
+        }
+    }
+    for (const std::string &id : lapsed) {
+        drop(id);
+    }
+}
+
+const std::vector<UpstreamBook::Pointer> &UpstreamBook::ofService(std::string_view service) const
+{
+    static const std::vector<Pointer> none;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? none : found->second;
+}
+
+bool UpstreamBook::avoided(const Upstream &upstream, base::TimePoint now) const
+{
+    if (now < upstream.avoidUntil) {
+        return true;
+    }
+    const double decayed = std::exp(-base::toSeconds(now - upstream.decayedAt) / base::toSeconds(m_options.failureMemory));
+    return upstream.attempts * decayed >= m_options.failureEvidence && upstream.failures > m_options.failureLimit * upstream.attempts;
+}
+
+bool UpstreamBook::trialDue(const Upstream &upstream, base::TimePoint now) const
+{
+    return now >= upstream.avoidUntil && now >= upstream.lastTrial + m_options.probation;
+}
+
+double UpstreamBook::load(const Upstream &upstream, base::TimePoint now) const
+{
+    if (upstream.loadAt == base::TimePoint() || now - upstream.loadAt > m_options.loadFigureLifetime) {
+        return upstream.outstanding;
+    }
+    const double stated = upstream.load.running + upstream.load.waiting;
+    const double others = std::max(0.0, stated - upstream.outstandingAtLoad);
+    // Requests of others end too: what they had then counts less the older the figure is.
+    const double freshness = 1.0 - 0.5 * base::toSeconds(now - upstream.loadAt) / base::toSeconds(m_options.loadFigureLifetime);
+    return others * freshness + upstream.outstanding;
+}
+
+void UpstreamBook::sent(Upstream &upstream, base::TimePoint now)
+{
+    ++upstream.outstanding;
+    if (avoided(upstream, now)) {
+        upstream.lastTrial = now;
+    }
+}
+
+void UpstreamBook::loadStated(Upstream &upstream, const LoadFigure &figure, base::TimePoint now) const
+{
+    upstream.load = figure;
+    upstream.loadAt = now;
+    // The response that states the figure has not been taken off `outstanding` yet.
+    upstream.outstandingAtLoad = upstream.outstanding > 0 ? upstream.outstanding - 1 : 0;
+}
+
+void UpstreamBook::ended(Upstream &upstream, AttemptVerdict verdict, base::Duration took, base::TimePoint now) const
+{
+    upstream.outstanding -= upstream.outstanding > 0 ? 1 : 0;
+    if (verdict == AttemptVerdict::Cancelled) {
+        return;
+    }
+    decay(upstream, now);
+    upstream.attempts += 1;
+    if (verdict == AttemptVerdict::Served) {
+        const double seconds = base::toSeconds(took);
+        upstream.serviceSeconds =
+            upstream.serviceSeconds == 0 ? seconds : upstream.serviceSeconds + m_options.serviceTimeWeight * (seconds - upstream.serviceSeconds);
+        upstream.pause = {};
+        return;
+    }
+    upstream.failures += 1;
+    if (verdict == AttemptVerdict::Unreachable || verdict == AttemptVerdict::Misdirected) {
+        upstream.pause = std::min(std::max(upstream.pause * 2, m_options.unreachablePause), m_options.longestPause);
+        upstream.avoidUntil = now + upstream.pause;
+    }
+}
+
+void UpstreamBook::drop(const std::string &id)
+{
+    const auto found = m_upstreams.find(id);
+    const Pointer upstream = found->second;
+    upstream->gone = true;
+    m_upstreams.erase(found);
+    std::erase(m_services[upstream->report.service], upstream);
+}
+
+void UpstreamBook::decay(Upstream &upstream, base::TimePoint now) const
+{
+    const double factor = std::exp(-base::toSeconds(now - upstream.decayedAt) / base::toSeconds(m_options.failureMemory));
+    upstream.attempts *= factor;
+    upstream.failures *= factor;
+    upstream.decayedAt = now;
+}
+
+} // namespace trefoilstile::ingress
--- /dev/null
+++ b/src/proxy/entry_core.cpp
@@ -0,0 +1,65 @@
+// Shared state of the entry process.
+
+#include "trefoilstile/proxy/entry_core.hpp"
+
+#include <utility>
+
+#include "trefoilstile/base/ids.hpp"
+
+namespace trefoilstile::proxy
+{
+
+EntryCore::EntryCore(boost::asio::io_context &ioContext, Settings processSettings, HeaderNames headerNames, std::uint64_t seed)
+    : context(ioContext)
+    , settings(std::move(processSettings))
+    , names(std::move(headerNames))
+    , random(seed)
+    , placement(book, settings.region, base::stableHash(settings.name))
+{
+    book.setRegions(settings.regions);
+    // Without other knowledge each failure domain has as many callers as another.
+    std::map<std::string, double, std::less<>> demand;
+    for (const auto &[domain, region] : settings.regions) {
+        demand[region] += 1;
+    }
+    placement.setDemand(std::move(demand));
+}
+
+bool EntryCore::applyConfiguration(ingress::Configuration newer, base::TimePoint now)
+{
+    if (newer.version <= configuration.version) {
+        return false;
+    }
+    configuration = std::move(newer);
+    routes = std::make_unique<ingress::RouteIndex>(configuration);
+    book.setServices(configuration);
+    placement.advance(configuration, now);
+    return true;
+}
+
+ingress::RetryShare &EntryCore::retryShare(std::string_view service)
+{
+    auto found = m_retryShares.find(service);
+    if (found == m_retryShares.end()) {
+        const ingress::RetryShareOptions options{settings.retryRatio, settings.retryWindow, settings.retrySlack};
+        found = m_retryShares.emplace(std::string(service), ingress::RetryShare(options)).first;
+    }
+    return found->second;
+}
+
+bool EntryCore::takeRetry(std::string_view service, base::TimePoint now)
+{
+    return retryShare(service).tryTake(members.value(), now);
+}
+
+void EntryCore::advance(base::TimePoint now)
+{
+    book.advance(now);
+    if (routes) {
+        placement.advance(configuration, now);
+    }
+    connections.sweep(now);
+    log.flush();
+}
+
+} // namespace trefoilstile::proxy
--- /dev/null
+++ b/src/proxy/entry_servers.cpp
@@ -0,0 +1,68 @@
+// Accepting callers within the limits of the process.
+
+#include "trefoilstile/proxy/entry_servers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilstile::proxy
+{
+
+namespace
+{
+
+/// Part of the descriptors for callers; the rest is for upstreams, files and the other servers.
+constexpr double s_callerDescriptorShare = 0.5;
+
+/// Part of the memory for request bodies held at the same time.
+constexpr double s_bodyMemoryShare = 0.2;
+
+} // namespace
+
+CallerListener::CallerListener(EntryCore &core)
+    : m_core(core)
+    , m_bodyBudget(std::make_shared<http::BodyBudget>())
+    , m_listener(std::make_shared<http::Listener>(core.context, core.settings.callerAddress))
+{
+    m_bodyBudget->limit = static_cast<std::uint64_t>(core.settings.memoryMegabytes * 1e6 * s_bodyMemoryShare);
+    m_listener->start([this](boost::asio::ip::tcp::socket socket) {
+        accepted(std::move(socket));
+    });
+}
+
+void CallerListener::accepted(boost::asio::ip::tcp::socket socket)
+{
+    const auto most = static_cast<std::size_t>(static_cast<double>(m_core.settings.maximumDescriptors) * s_callerDescriptorShare);
+    if (m_core.sessions >= most) {
+        m_core.metrics.increment("trefoilstile_caller_connections_refused_total", {});
+        return; // closes the socket; nothing has been read, so the caller may go elsewhere
+    }
+    const auto session = std::make_shared<CallerSession>(m_core, std::move(socket), m_bodyBudget);
+    if (m_sessions.size() >= m_cleanAt) {
+        std::erase_if(m_sessions, [](const auto &weak) {
+            return weak.expired();
+        });
+        m_cleanAt = std::max<std::size_t>(64, 2 * m_sessions.size());
+    }
+    m_sessions.push_back(session);
+    session->start();
+    if (m_core.stop.begun()) {
+        session->windDown();
+    }
+}
+
+void CallerListener::windDown()
+{
+    for (const auto &weak : m_sessions) {
+        if (const auto session = weak.lock()) {
+            session->windDown();
+        }
+    }
+}
+
+void CallerListener::stop()
+{
+    m_listener->stop();
+}
+
+} // namespace trefoilstile::proxy
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,517 @@
+// Life of one request: placement, attempts, retries and the response.
+
+#include "trefoilstile/proxy/exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+#include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/http/clock.hpp"
+#include "trefoilstile/http/response_reader.hpp"
+
+namespace trefoilstile::proxy
+{
+
+namespace
+{
+
+using ingress::AttemptVerdict;
+
+/// A connection to a live upstream takes one round trip, at most 70 ms between regions; a lost packet costs a second.
+constexpr base::Duration s_connectTimeout = std::chrono::milliseconds(500);
+
+/// Placements of one request, refused connections included; bounds the work for a request while upstreams vanish.
+constexpr std::size_t s_mostAttempts = 6;
+
+/// Responses to earlier requests that are passed over on one connection.
+constexpr int s_mostStrayResponses = 3;
+
+/// Greatest response body held. Above the largest download of today by far; a larger one is not passed on.
+constexpr std::size_t s_mostResponseBytes = 16U << 20U;
+
+/// An attempt with less time than this cannot end in time on any path.
+constexpr base::Duration s_leastUseful = std::chrono::milliseconds(40);
+
+/// Longest waiting time taken from a caller; longer ones are not trusted.
+constexpr std::uint64_t s_mostWaitMilliseconds = 3'600'000;
+
+std::string_view verdictName(AttemptVerdict verdict)
+{
+    switch (verdict) {
+    case AttemptVerdict::Served:
+        return "served";
+    case AttemptVerdict::Shed:
+        return "shed";
+    case AttemptVerdict::Unreachable:
+        return "unreachable";
+    case AttemptVerdict::Broken:
+        return "broken";
+    case AttemptVerdict::Silent:
+        return "silent";
+    case AttemptVerdict::Cancelled:
+        return "cancelled";
+    case AttemptVerdict::Misdirected:
+        return "misdirected";
+    }
+    return "unknown";
+}
+
+std::string_view reasonName(ingress::PlacementReason reason)
+{
+    switch (reason) {
+    case ingress::PlacementReason::Warm:
+        return "warm";
+    case ingress::PlacementReason::WarmWait:
+        return "warm_wait";
+    case ingress::PlacementReason::Free:
+        return "free";
+    case ingress::PlacementReason::Spill:
+        return "spill";
+    case ingress::PlacementReason::Queue:
+        return "queue";
+    case ingress::PlacementReason::Trial:
+        return "trial";
+    case ingress::PlacementReason::None:
+        break;
+    }
+    return "none";
+}
+
+bool sendsLength(const http::Request &request)
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+}
+
+std::optional<ingress::LoadFigure> parseLoad(std::string_view text)
+{
+    std::uint64_t figures[3]{};
+    for (std::uint64_t &figure : figures) {
+        const auto comma = std::min(text.find(','), text.size());
+        const auto number = http::parseNumber(text.substr(0, comma));
+        if (!number || *number > 1'000'000) {
+            return std::nullopt;
+        }
+        figure = *number;
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return ingress::LoadFigure{static_cast<std::uint32_t>(figures[0]), static_cast<std::uint32_t>(figures[1]), static_cast<std::uint32_t>(figures[2])};
+}
+
+} // namespace
+
+CallerResponse ownResponse(std::uint16_t status, base::Duration retryAfter)
+{
+    CallerResponse response;
+    response.status = status;
+    switch (status) {
+    case 400:
+        response.reason = "Bad Request";
+        break;
+    case 404:
+        response.reason = "Not Found";
+        break;
+    case 413:
+        response.reason = "Payload Too Large";
+        break;
+    case 431:
+        response.reason = "Request Header Fields Too Large";
+        break;
+    case 502:
+        response.reason = "Bad Gateway";
+        break;
+    case 503:
+        response.reason = "Service Unavailable";
+        break;
+    case 504:
+        response.reason = "Gateway Timeout";
+        break;
+    default:
+        break;
+    }
+    if (retryAfter > base::Duration::zero()) {
+        response.headers.push_back({"Retry-After", fmt::format("{:.3f}", base::toSeconds(retryAfter))});
+    }
+    return response;
+}
+
+Exchange::Exchange(EntryCore &core, http::Request request, base::TimePoint arrivedAt)
+    : m_core(core)
+    , m_request(std::move(request))
+    , m_arrivedAt(arrivedAt)
+    , m_wakeUp(core.context)
+{
+    if (const std::string *id = http::findHeader(m_request.headers, m_core.names.requestId)) {
+        m_id = *id;
+    }
+}
+
+std::optional<CallerResponse> Exchange::prepare()
+{
+    if (!m_core.routes || !m_core.upstreamsKnown) {
+        m_outcome = "not_ready";
+        // Reading the store takes a few round trips after a start.
+        return ownResponse(503, std::chrono::milliseconds(200));
+    }
+    const std::string *hostField = http::findHeader(m_request.headers, "Host");
+    const auto host = hostField == nullptr ? std::nullopt : http::hostWithoutPort(*hostField);
+    if (!host) {
+        m_outcome = "bad_host";
+        return ownResponse(400);
+    }
+    const std::string_view target = m_request.target;
+    m_route = m_core.routes->find(*host, target.substr(0, target.find('?')));
+    if (!m_route) {
+        m_outcome = "no_route";
+        return ownResponse(404);
+    }
+    base::Duration most = m_route->route.timeout;
+    if (const std::string *timeLeft = http::findHeader(m_request.headers, m_core.names.timeLeft)) {
+        if (const auto milliseconds = http::parseNumber(*timeLeft)) {
+            most = std::min<base::Duration>(most, std::chrono::milliseconds(std::min(*milliseconds, s_mostWaitMilliseconds)));
+        }
+    }
+    m_deadline = m_arrivedAt + most;
+    if (!m_core.stop.accepts(most, m_arrivedAt)) {
+        m_outcome = "stopping";
+        return ownResponse(503, std::chrono::milliseconds(1));
+    }
+    const std::string *objectKey = http::findHeader(m_request.headers, m_core.names.objectKey);
+    m_key = objectKey == nullptr ? m_core.random.next() : base::stableHash(*objectKey, base::stableHash(m_route->route.prefix));
+    m_service = m_route->route.shares[m_route->rotation.next()].service;
+    m_core.retryShare(m_service).requestArrived(m_arrivedAt);
+    return std::nullopt;
+}
+
+boost::asio::awaitable<std::optional<CallerResponse>> Exchange::run()
+{
+    const auto self = shared_from_this();
+    ++m_core.requests;
+    std::optional<CallerResponse> response = prepare();
+    if (!response) {
+        response = startAttempt(true);
+    }
+    while (!response && !m_cancelled) {
+        const bool anyEnded = std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto &attempt) {
+            return attempt->ended && !attempt->seen;
+        });
+        if (!anyEnded) {
+            const auto left = m_deadline - http::now();
+            if (left <= base::Duration::zero()) {
+                m_mayHaveRun = m_mayHaveRun || running() > 0;
+                abortAttempts();
+                response = giveUp("deadline");
+                break;
+            }
+            http::ErrorCode ignored; // cancelled by the end of an attempt
+            m_wakeUp.expires_after(left);
+            co_await m_wakeUp.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            continue;
+        }
+        response = takeEnds();
+        if (!response && running() == 0) {
+            response = startAttempt(false);
+        }
+    }
+    abortAttempts();
+    --m_core.requests;
+    logEnd(response, http::now());
+    if (m_cancelled) {
+        co_return std::nullopt;
+    }
+    co_return response;
+}
+
+void Exchange::cancel()
+{
+    if (!m_cancelled) {
+        m_cancelled = true;
+        m_outcome = "caller_gone";
+        abortAttempts();
+        m_wakeUp.cancel();
+    }
+}
+
+std::optional<CallerResponse> Exchange::takeEnds()
+{
+    for (const auto &attempt : m_attempts) {
+        if (!attempt->ended || attempt->seen) {
+            continue;
+        }
+        attempt->seen = true;
+        AttemptEnd &end = attempt->end;
+        m_sends += end.reached ? 1 : 0;
+        if (!end.response) {
+            m_mayHaveRun = m_mayHaveRun || !end.provedNotRun;
+            continue;
+        }
+        const bool failure = end.response->status >= 500;
+        if (!failure || !m_route->route.idempotent) {
+            m_outcome = failure ? "upstream_failure" : "served";
+            return std::move(end.response);
+        }
+        m_failureResponse = std::move(end.response);
+    }
+    return std::nullopt;
+}
+
+bool Exchange::mayRetry(base::TimePoint now)
+{
+    if (m_mayHaveRun && !m_route->route.idempotent) {
+        return false;
+    }
+    if (m_sends >= m_route->route.maximumAttempts || m_attempts.size() >= s_mostAttempts || m_deadline - now < s_leastUseful) {
+        return false;
+    }
+    // Nothing has arrived at an upstream yet, so this is no retry for the upstreams.
+    return m_sends == 0 || m_core.takeRetry(m_service, now);
+}
+
+std::optional<CallerResponse> Exchange::startAttempt(bool first)
+{
+    const base::TimePoint now = http::now();
+    if (!first && !mayRetry(now)) {
+        return giveUp("no_retry");
+    }
+    std::vector<const ingress::Upstream *> tried;
+    for (const auto &attempt : m_attempts) {
+        tried.push_back(attempt->upstream.get());
+    }
+    const ingress::Route &route = m_route->route;
+    const ingress::PlacementRequest request{route, m_service, m_key, tried, m_deadline - now, m_arrivedAt + route.latencyObjective - now};
+    const ingress::PlacementResult placed = m_core.placement.choose(request, m_core.configuration, now);
+    if (placed.outcome == ingress::PlacementOutcome::Chosen) {
+        launch(placed, now);
+        return std::nullopt;
+    }
+    if (placed.outcome == ingress::PlacementOutcome::NoRoom && !m_mayHaveRun && !m_failureResponse) {
+        m_outcome = "no_room";
+        // Spread, so that callers of one burst do not return together.
+        constexpr double spread = 0.5;
+        const base::Duration wait = std::max<base::Duration>(placed.retryAfter, std::chrono::milliseconds(50));
+        return ownResponse(503, base::jittered(wait, spread, m_core.random));
+    }
+    return giveUp(placed.outcome == ingress::PlacementOutcome::NoRoom ? "no_room" : "no_upstream");
+}
+
+std::optional<CallerResponse> Exchange::giveUp(std::string_view why)
+{
+    m_outcome = why;
+    if (m_failureResponse) {
+        return std::move(m_failureResponse);
+    }
+    if (!m_mayHaveRun) {
+        // Time for another instance or upstream to be found.
+        return ownResponse(503, std::chrono::milliseconds(100));
+    }
+    return ownResponse(http::now() >= m_deadline ? 504 : 502);
+}
+
+std::size_t Exchange::running() const
+{
+    return static_cast<std::size_t>(std::count_if(m_attempts.begin(), m_attempts.end(), [](const auto &attempt) {
+        return !attempt->ended;
+    }));
+}
+
+void Exchange::abortAttempts()
+{
+    for (const auto &attempt : m_attempts) {
+        if (!attempt->ended) {
+            attempt->aborted = true;
+            if (attempt->connection) {
+                attempt->connection->close();
+            }
+        }
+    }
+}
+
+void Exchange::launch(const ingress::PlacementResult &placed, base::TimePoint now)
+{
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->upstream = placed.upstream;
+    attempt->reason = placed.reason;
+    attempt->load = placed.load;
+    attempt->loadAge = placed.upstream->loadAt == base::TimePoint() ? base::Duration(-1) : now - placed.upstream->loadAt;
+    attempt->startedAt = now;
+    m_attempts.push_back(attempt);
+    m_core.book.sent(*attempt->upstream, now);
+    boost::asio::co_spawn(
+        m_core.context,
+        [self = shared_from_this(), attempt]() {
+            return self->attempt(attempt);
+        },
+        boost::asio::detached);
+}
+
+boost::asio::awaitable<void> Exchange::attempt(std::shared_ptr<Attempt> attempt)
+{
+    const auto self = shared_from_this();
+    AttemptEnd end = co_await exchangeWith(attempt);
+    attempt->endedAt = http::now();
+    if (attempt->aborted && !end.response) {
+        end.verdict = m_cancelled ? AttemptVerdict::Cancelled : AttemptVerdict::Silent;
+    }
+    m_core.book.ended(*attempt->upstream, end.verdict, attempt->endedAt - attempt->startedAt, attempt->endedAt);
+    attempt->end = std::move(end);
+    attempt->ended = true;
+    m_wakeUp.cancel();
+}
+
+boost::asio::awaitable<AttemptEnd> Exchange::exchangeWith(std::shared_ptr<Attempt> attempt)
+{
+    const AttemptEnd unreachable{AttemptVerdict::Unreachable, false, true, std::nullopt};
+    const ingress::UpstreamReport &upstream = attempt->upstream->report;
+    attempt->connection = m_core.connections.take(upstream.id, !m_route->route.idempotent, http::now());
+    if (!attempt->connection) {
+        attempt->connection = std::make_shared<http::Connection>(m_core.context);
+        attempt->connection->readDeadline.set(std::min<base::Duration>(s_connectTimeout, m_deadline - http::now()));
+        const auto endpoint = http::parseEndpoint(upstream.address);
+        const http::ErrorCode error = co_await attempt->connection->connect(endpoint);
+        if (error || attempt->aborted) {
+            attempt->connection->close();
+            co_return unreachable;
+        }
+        watchPath(*attempt->connection, m_core.connections.options().unacknowledged, m_core.connections.options().keepAliveSeconds);
+        m_core.metrics.increment("trefoilstile_upstream_connections_opened_total", {{"service", m_service}});
+    }
+    // What is believed may have changed while the connection was being made.
+    const base::TimePoint now = http::now();
+    if (!m_core.book.usable(*attempt->upstream) || m_deadline <= now) {
+        attempt->connection->close();
+        co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
+    }
+    attempt->connection->readDeadline.set(m_deadline - now);
+    const std::string head = requestHead(*attempt, now);
+    std::vector<boost::asio::const_buffer> buffers;
+    buffers.push_back(boost::asio::buffer(head));
+    buffers.push_back(boost::asio::buffer(m_request.body));
+    std::uint64_t written = 0;
+    const http::ErrorCode error = co_await attempt->connection->write(std::move(buffers), m_deadline - now, written);
+    if (error) {
+        attempt->connection->close();
+        co_return AttemptEnd{AttemptVerdict::Broken, written > 0, written == 0, std::nullopt};
+    }
+    AttemptEnd end = co_await readResponse(attempt);
+    end.reached = true;
+    co_return end;
+}
+
+boost::asio::awaitable<AttemptEnd> Exchange::readResponse(std::shared_ptr<Attempt> attempt)
+{
+    const AttemptEnd broken{AttemptVerdict::Broken, true, false, std::nullopt};
+    for (int stray = 0; stray <= s_mostStrayResponses; ++stray) {
+        http::ResponseReader reader(attempt->connection, m_request.method == "HEAD");
+        http::ResponseHead head;
+        const bool headRead = co_await reader.readHead(head);
+        if (!headRead) {
+            break;
+        }
+        std::string body;
+        char chunk[http::s_bodyChunk];
+        http::BodyRead state = http::BodyRead::Data;
+        while (state == http::BodyRead::Data && body.size() <= s_mostResponseBytes) {
+            std::size_t count = 0;
+            state = co_await reader.readBody(chunk, count);
+            body.append(chunk, count);
+        }
+        if (state != http::BodyRead::End) {
+            break;
+        }
+        const std::string *id = http::findHeader(head.headers, m_core.names.requestId);
+        if (id != nullptr && *id != m_id) {
+            continue; // a late response to an earlier request on this connection
+        }
+        if (reader.reusable()) {
+            const std::string *keepAlive = http::findHeader(head.headers, "Keep-Alive");
+            attempt->connection->readDeadline.clear();
+            m_core.connections.keep(attempt->upstream->report.id, attempt->connection, keepAlive, http::now());
+        } else {
+            attempt->connection->close();
+        }
+        co_return interpret(*attempt, std::move(head), std::move(body));
+    }
+    attempt->connection->close();
+    co_return broken;
+}
+
+AttemptEnd Exchange::interpret(Attempt &attempt, http::ResponseHead head, std::string body) const
+{
+    AttemptEnd end{AttemptVerdict::Broken, true, false, std::nullopt};
+    const base::TimePoint now = http::now();
+    if (const std::string *load = http::findHeader(head.headers, m_core.names.load)) {
+        if (const auto figure = parseLoad(*load)) {
+            m_core.book.loadStated(*attempt.upstream, *figure, now);
+        }
+    }
+    if (http::findHeader(head.headers, m_core.names.notRun) != nullptr || head.status == 421) {
+        end.verdict = head.status == 421 ? AttemptVerdict::Misdirected : AttemptVerdict::Shed;
+        end.provedNotRun = true;
+        return end;
+    }
+    const bool genuine = http::findHeader(head.headers, m_core.names.signature) != nullptr && http::findHeader(head.headers, m_core.names.requestId) != nullptr;
+    if (!genuine || http::findHeader(head.headers, "Content-Encoding") != nullptr) {
+        return end;
+    }
+    end.verdict = head.status >= 500 ? AttemptVerdict::Broken : AttemptVerdict::Served;
+    CallerResponse response;
+    response.status = head.status;
+    response.reason = std::move(head.reason);
+    response.headers = std::move(head.headers);
+    http::removeHopByHop(response.headers);
+    response.body = std::move(body);
+    end.response = std::move(response);
+    return end;
+}
+
+std::string Exchange::requestHead(const Attempt &attempt, base::TimePoint now) const
+{
+    std::string head = fmt::format("{} {} HTTP/1.1\r\n", m_request.method, m_request.target);
+    http::Headers headers = m_request.headers;
+    http::removeHopByHop(headers);
+    http::removeHeader(headers, m_core.names.timeLeft);
+    http::removeHeader(headers, m_core.names.expectedUpstream);
+    http::appendFields(head, headers);
+    http::appendField(head, m_core.names.timeLeft, std::to_string(std::max<std::int64_t>(1, base::toMilliseconds(m_deadline - now))));
+    http::appendField(head, m_core.names.expectedUpstream, attempt.upstream->report.id);
+    if (sendsLength(m_request)) {
+        http::appendField(head, "Content-Length", std::to_string(m_request.body.size()));
+    }
+    head += "\r\n";
+    return head;
+}
+
+void Exchange::logEnd(const std::optional<CallerResponse> &response, base::TimePoint now)
+{
+    const std::string status = response ? std::to_string(response->status) : "none";
+    const std::string priority = m_route ? std::to_string(m_route->route.priority) : "none";
+    m_core.metrics.increment("trefoilstile_requests_total", {{"priority", priority}, {"outcome", m_outcome}, {"status", status}});
+    if (m_outcome == "served") {
+        m_core.metrics.observe("trefoilstile_request_seconds", {{"priority", priority}}, now - m_arrivedAt);
+    }
+    LogLine line("request");
+    line.text("id", m_id).text("outcome", m_outcome).text("status", status).milliseconds("ms", now - m_arrivedAt);
+    line.number("configuration", static_cast<std::int64_t>(m_core.configuration.version));
+    if (m_route) {
+        line.text("route", m_route->route.name).text("service", m_service).milliseconds("time_allowed_ms", m_deadline - m_arrivedAt);
+    }
+    for (std::size_t i = 0; i < m_attempts.size(); ++i) {
+        const Attempt &attempt = *m_attempts[i];
+        const std::string prefix = i == 0 ? "" : fmt::format("retry{}_", i);
+        const auto took = (attempt.ended ? attempt.endedAt : now) - attempt.startedAt;
+        line.text(prefix + "upstream", attempt.upstream->report.id)
+            .text(prefix + "placed", reasonName(attempt.reason))
+            .real(prefix + "load", attempt.load)
+            .milliseconds(prefix + "load_age_ms", attempt.loadAge)
+            .text(prefix + "verdict", attempt.ended ? verdictName(attempt.end.verdict) : "unfinished")
+            .milliseconds(prefix + "took_ms", took);
+    }
+    m_core.log.write(line, now);
+}
+
+} // namespace trefoilstile::proxy
--- a/src/steering/source_book.cpp
+++ b/src/steering/source_book.cpp
@@ -68,7 +68,7 @@
         best.push_back({{incarnation, peer.address}, version});
     }
     if (usable(m_store, m_storeCooldown) && (best.empty() || m_store.generation > best.front().version.generation)) {
-        return DocumentOffer{{}, m_store};
+        best.assign(1, DocumentOffer{Source(), m_store});
     }
     return oneOf(best, random);
 }
--- a/src/platform/circuit_breaker.cpp
+++ b/src/tablestore/circuit_breaker.cpp
@@ -1,10 +1,10 @@
 // Transitions of the circuit breaker.
 
-#include "trefoilstile/platform/circuit_breaker.hpp"
+#include "trefoilstile/tablestore/circuit_breaker.hpp"
 
 #include <algorithm>
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 CircuitBreaker::CircuitBreaker(CircuitBreakerOptions options)
@@ -81,4 +81,4 @@
     ++m_epoch;
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/circuit_breaker_test.cpp
+++ b/src/tablestore/circuit_breaker_test.cpp
@@ -1,13 +1,13 @@
 // Guards against a breaker that lets a burst through at the end of an outage, or that never closes again.
 
-#include "trefoilstile/platform/circuit_breaker.hpp"
+#include "trefoilstile/tablestore/circuit_breaker.hpp"
 
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
-using namespace trefoilstile::platform;
+using namespace trefoilstile::tablestore;
 using namespace trefoilstile::base;
 
 BOOST_AUTO_TEST_SUITE(CircuitBreakers)
--- a/src/platform/claim_store.cpp
+++ b/src/tablestore/claim_store.cpp
@@ -1,13 +1,13 @@
 // Operations on the table `claims`.
 
-#include "trefoilstile/platform/claim_store.hpp"
+#include "trefoilstile/tablestore/claim_store.hpp"
 
 #include <fmt/format.h>
 
 #include "row_codec.hpp"
-#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/tablestore/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 namespace
@@ -71,4 +71,4 @@
     return removed;
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/claim_store_test.cpp
+++ b/src/tablestore/claim_store_test.cpp
@@ -1,6 +1,6 @@
 // Guards against one key run by two instances: at most one claim of a key may ever be told that it won.
 
-#include "trefoilstile/platform/claim_store.hpp"
+#include "trefoilstile/tablestore/claim_store.hpp"
 
 #include <algorithm>
 
@@ -9,7 +9,7 @@
 
 #include "fake_store.hpp"
 
-using namespace trefoilstile::platform;
+using namespace trefoilstile::tablestore;
 using testing::FakeStore;
 using testing::Fault;
 using trefoilstile::engine::ClaimResult;
--- a/src/platform/document_store.cpp
+++ b/src/tablestore/document_store.cpp
@@ -1,6 +1,6 @@
 // Operations on the table `documents` and the objects it names.
 
-#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -9,9 +9,9 @@
 
 #include "row_codec.hpp"
 #include "trefoilstile/document/parse.hpp"
-#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/tablestore/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 namespace
@@ -83,4 +83,4 @@
     return submitWrite(*m_store, std::move(pending), call);
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/document_store_test.cpp
+++ b/src/tablestore/document_store_test.cpp
@@ -1,6 +1,6 @@
 // Guards against accepted documents that get lost, two winners of one generation, and wrong news for an operator.
 
-#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -15,7 +15,7 @@
 #include "row_codec.hpp"
 #include "trefoilstile/document/parse.hpp"
 
-using namespace trefoilstile::platform;
+using namespace trefoilstile::tablestore;
 using testing::FakeStore;
 using testing::Fault;
 
--- a/src/platform/drain_store.cpp
+++ b/src/tablestore/drain_store.cpp
@@ -1,6 +1,6 @@
 // Operations on the table `drains`.
 
-#include "trefoilstile/platform/drain_store.hpp"
+#include "trefoilstile/tablestore/drain_store.hpp"
 
 #include <algorithm>
 #include <array>
@@ -8,9 +8,9 @@
 #include <fmt/format.h>
 
 #include "row_codec.hpp"
-#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/tablestore/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 namespace
@@ -107,4 +107,4 @@
     throw Unavailable(fmt::format("the drain list was changed by others {} times in a row", s_conflictAttempts));
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/drain_store_test.cpp
+++ b/src/tablestore/drain_store_test.cpp
@@ -1,6 +1,6 @@
 // Guards against a drain or undrain that another operator's change wipes out.
 
-#include "trefoilstile/platform/drain_store.hpp"
+#include "trefoilstile/tablestore/drain_store.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -11,7 +11,7 @@
 #include "fake_store.hpp"
 #include "row_codec.hpp"
 
-using namespace trefoilstile::platform;
+using namespace trefoilstile::tablestore;
 using testing::FakeStore;
 using testing::Fault;
 using trefoilstile::engine::Drain;
--- a/src/platform/fake_store.hpp
+++ b/src/tablestore/fake_store.hpp
@@ -9,10 +9,10 @@
 #include <utility>
 #include <vector>
 
-#include "trefoilstile/platform/error.hpp"
-#include "trefoilstile/platform/store.hpp"
+#include "trefoilstile/tablestore/error.hpp"
+#include "trefoilstile/tablestore/store.hpp"
 
-namespace trefoilstile::platform::testing
+namespace trefoilstile::tablestore::testing
 {
 
 /// What befalls one request. Reads meet every fault as an outage.
@@ -185,4 +185,4 @@
     std::uint64_t m_lastVersion{};
 };
 
-} // namespace trefoilstile::platform::testing
+} // namespace trefoilstile::tablestore::testing
--- a/src/platform/http_connection.cpp
+++ b/src/tablestore/http_connection.cpp
@@ -1,6 +1,6 @@
 // Synchronous exchanges over asynchronous Beast operations, since only those have time limits.
 
-#include "trefoilstile/platform/http_connection.hpp"
+#include "trefoilstile/tablestore/http_connection.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -14,7 +14,7 @@
 
 #include "trefoilstile/base/ip.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 namespace
@@ -253,4 +253,4 @@
     return m_implementation->exchange(request, limit);
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/http_connection_test.cpp
+++ b/src/tablestore/http_connection_test.cpp
@@ -1,12 +1,12 @@
 // Guards against requests sent twice, responses taken for those of other requests, and waits without end.
 
-#include "trefoilstile/platform/http_connection.hpp"
+#include "trefoilstile/tablestore/http_connection.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include "scripted_server.hpp"
 
-using namespace trefoilstile::platform;
+using namespace trefoilstile::tablestore;
 using testing::response;
 using testing::ScriptedServer;
 using testing::Step;
--- a/src/platform/platform_client.cpp
+++ b/src/tablestore/platform_client.cpp
@@ -1,6 +1,6 @@
 // Paths, JSON and outcomes of requests to the platform.
 
-#include "trefoilstile/platform/platform_client.hpp"
+#include "trefoilstile/tablestore/platform_client.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -8,9 +8,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/tablestore/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 namespace
@@ -253,4 +253,4 @@
     }
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/platform_client_test.cpp
+++ b/src/tablestore/platform_client_test.cpp
@@ -1,13 +1,13 @@
 // Guards against a client that calls a write lost when it may have run, or that hammers a failing platform.
 
-#include "trefoilstile/platform/platform_client.hpp"
+#include "trefoilstile/tablestore/platform_client.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include "scripted_server.hpp"
-#include "trefoilstile/platform/document_store.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
 
-using namespace trefoilstile::platform;
+using namespace trefoilstile::tablestore;
 using testing::response;
 using testing::ScriptedServer;
 using testing::Step;
--- a/src/platform/purpose_budgets.cpp
+++ b/src/tablestore/purpose_budgets.cpp
@@ -1,10 +1,10 @@
 // Token buckets with lending from lower to higher purposes.
 
-#include "trefoilstile/platform/purpose_budgets.hpp"
+#include "trefoilstile/tablestore/purpose_budgets.hpp"
 
 #include <algorithm>
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 PurposeBudgets::PurposeBudgets(const PurposeBudgetOptions &options)
@@ -52,4 +52,4 @@
     }
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/purpose_budgets_test.cpp
+++ b/src/tablestore/purpose_budgets_test.cpp
@@ -1,6 +1,6 @@
 // Guards against statistics or claims that use up what documents and drains need.
 
-#include "trefoilstile/platform/purpose_budgets.hpp"
+#include "trefoilstile/tablestore/purpose_budgets.hpp"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +9,7 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
-using namespace trefoilstile::platform;
+using namespace trefoilstile::tablestore;
 using namespace trefoilstile::base;
 
 namespace
--- a/src/platform/row_codec.cpp
+++ b/src/tablestore/row_codec.cpp
@@ -7,9 +7,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/tablestore/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 namespace
@@ -194,4 +194,4 @@
     return ClaimRow{object["claim"].get<std::string>(), object["expires_at_ms"].get<std::int64_t>()};
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/row_codec.hpp
+++ b/src/tablestore/row_codec.hpp
@@ -6,12 +6,12 @@
 #include <string_view>
 #include <vector>
 
-#include "trefoilstile/platform/document_store.hpp"
-#include "trefoilstile/platform/drain_store.hpp"
-#include "trefoilstile/platform/store.hpp"
-#include "trefoilstile/platform/submission.hpp"
+#include "trefoilstile/tablestore/document_store.hpp"
+#include "trefoilstile/tablestore/drain_store.hpp"
+#include "trefoilstile/tablestore/store.hpp"
+#include "trefoilstile/tablestore/submission.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 /// @throws MalformedData
@@ -48,4 +48,4 @@
 /// Nothing if the row is not of the agreed form.
 std::optional<ClaimRow> parseClaimRow(const Row &row);
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
--- a/src/platform/scripted_server.hpp
+++ b/src/tablestore/scripted_server.hpp
@@ -14,7 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace trefoilstile::platform::testing
+namespace trefoilstile::tablestore::testing
 {
 
 /// What happens to one request.
@@ -143,4 +143,4 @@
     std::thread m_thread;
 };
 
-} // namespace trefoilstile::platform::testing
+} // namespace trefoilstile::tablestore::testing
--- a/src/platform/submission.cpp
+++ b/src/tablestore/submission.cpp
@@ -1,6 +1,6 @@
 // Conditional writes of generations and the settling of lost answers.
 
-#include "trefoilstile/platform/submission.hpp"
+#include "trefoilstile/tablestore/submission.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -8,9 +8,9 @@
 #include <fmt/format.h>
 
 #include "row_codec.hpp"
-#include "trefoilstile/platform/error.hpp"
+#include "trefoilstile/tablestore/error.hpp"
 
-namespace trefoilstile::platform
+namespace trefoilstile::tablestore
 {
 
 namespace
@@ -116,4 +116,4 @@
     return Unsettled{std::move(pending), reason};
 }
 
-} // namespace trefoilstile::platform
+} // namespace trefoilstile::tablestore
