Place requests by expected time, with the cost of cold work

The upstream with the least expected time is taken now, and an upstream not known to hold the object warm counts one latency objective more.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -1,9 +1,10 @@
 // Chooses the upstream of a request, or tells that it cannot be served in time.
 //
 // Answers a load that fits the upstreams only while most objects are warm. All instances rank the upstreams of a key the
-// same way (rendezvous hashing), so that an object is handled by few upstreams, without agreement. The first of them with
-// a free slot is taken; a short wait at one of them is preferred to a free slot at an upstream that would have to do the
-// work cold. A request that cannot be answered in its time is rejected at once.
+// same way (rendezvous hashing), so that an object is handled by few upstreams, without agreement. The upstream with the
+// least expected time is taken: the wait for a slot, and the extra time of cold work where the object is not known to be
+// warm. Work is therefore only moved when waiting costs more than doing it cold. A request that cannot be answered in its
+// time is rejected at once.
 #pragma once
 
 #include <cstdint>
@@ -22,9 +23,13 @@
 {
 
 struct PlacementOptions {
-    std::size_t warmUpstreams = 2; ///< upstreams of a region that handle a key while they have room
-    /// Part of the latency objective that a request may wait at a warm upstream before a cold one with a free slot is used.
-    double warmWaitShare = 0.35;
+    /// Extra time of cold work, as a part of the route's latency objective. Objectives lie between the time of warm and of
+    /// cold work, so that cold work takes about one objective longer.
+    double coldCost = 1.0;
+    /// The same for the second upstream of a key: it is the first to take over, so it is worth warming.
+    double secondCost = 0.6;
+    /// Part of the objective that a request may be expected to wait before one with a free slot in another region is used.
+    double spillWait = 0.5;
     /// Requests waiting at an upstream beyond its slots, as a multiple of the slots: for the most urgent priority, and less
     /// for each priority below it, so that urgent work still finds room in the queue.
     double queuePerSlot = 1.6;
@@ -45,7 +50,13 @@
 };
 
 /// Why the upstream was taken; for logs.
-enum class PlacementReason : std::uint8_t { Warm, WarmWait, Free, Spill, Queue, Trial, None };
+enum class PlacementReason : std::uint8_t {
+    First, ///< ranked first for the key
+    Warm, ///< has handled the object of late
+    Cold, ///< has not, as far as known
+    Spill, ///< in another region than planned, for want of room
+    None,
+};
 
 struct PlacementRequest {
     const Route &route;
@@ -97,9 +108,12 @@
 private:
     struct Candidate {
         const UpstreamBook::Pointer *upstream{};
+        std::size_t rank{};
         double load{};
         double slots{};
-        base::Duration wait{};
+        base::Duration wait{}; ///< expected, for a slot
+        base::Duration cost{}; ///< `wait` and the extra time of cold work
+        bool warm = false;
     };
 
     struct ServiceState {
@@ -110,7 +124,7 @@
 
     ServiceState &state(std::string_view service);
     bool admitsCold(ServiceState &service, const Upstream &upstream, const Configuration &configuration, base::TimePoint now);
-    Candidate candidate(const UpstreamBook::Pointer &upstream, base::TimePoint now) const;
+    Candidate candidate(const PlacementRequest &request, const UpstreamBook::Pointer &upstream, std::size_t rank, base::TimePoint now) const;
     std::vector<const UpstreamBook::Pointer *> ranked(const PlacementRequest &request, base::TimePoint now) const;
 
     UpstreamBook &m_book;
--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -16,6 +16,7 @@
 
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/ingress/configuration.hpp"
+#include "trefoilstile/ingress/warm_keys.hpp"
 
 namespace trefoilstile::ingress
 {
@@ -82,7 +83,8 @@
     LoadFigure load;
     base::TimePoint loadAt; ///< arrival of `load`
     std::uint32_t outstandingAtLoad{}; ///< own requests that `load` counts
-    double serviceSeconds{}; ///< moving average; 0: nothing known
+    double serviceSeconds{}; ///< moving average of the time in a slot; 0: nothing known
+    WarmKeys warmKeys;
 
     double attempts{}; ///< decayed
     double failures{}; ///< decayed; at most `attempts`
@@ -146,7 +148,9 @@
 
     void sent(Upstream &upstream, base::TimePoint now);
     void loadStated(Upstream &upstream, const LoadFigure &figure, base::TimePoint now) const;
-    void ended(Upstream &upstream, AttemptVerdict verdict, base::Duration took, base::TimePoint now) const;
+    /// @param took time of the attempt
+    /// @param loadBefore believed load when it was sent
+    void ended(Upstream &upstream, AttemptVerdict verdict, base::Duration took, double loadBefore, base::TimePoint now) const;
 
     std::size_t size() const
     {
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -80,14 +80,21 @@
     return service.warmUp[&upstream].tryTake(description->second.warmUpRequestsPerSecond, m_members, static_cast<std::size_t>(rank), now);
 }
 
-Placement::Candidate Placement::candidate(const UpstreamBook::Pointer &upstream, base::TimePoint now) const
+Placement::Candidate Placement::candidate(const PlacementRequest &request, const UpstreamBook::Pointer &upstream, std::size_t rank, base::TimePoint now) const
 {
-    Candidate result{&upstream, m_book.load(*upstream, now), static_cast<double>(std::max(1U, upstream->report.slots)), {}};
+    Candidate result;
+    result.upstream = &upstream;
+    result.rank = rank;
+    result.load = m_book.load(*upstream, now);
+    result.slots = static_cast<double>(std::max(1U, upstream->report.slots));
+    result.warm = upstream->warmKeys.contains(request.key, now);
     const double excess = result.load + 1 - result.slots;
     if (excess > 0) {
         const double service = upstream->serviceSeconds > 0 ? upstream->serviceSeconds : base::toSeconds(m_options.assumedServiceTime);
         result.wait = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(excess / result.slots * service));
     }
+    const double coldCost = rank == 0 || result.warm ? 0.0 : rank == 1 ? m_options.secondCost : m_options.coldCost;
+    result.cost = result.wait + std::chrono::duration_cast<base::Duration>(coldCost * request.route.latencyObjective);
     return result;
 }
 
@@ -133,10 +140,13 @@
     std::vector<Candidate> local;
     std::vector<Candidate> remote;
     for (const auto *upstream : upstreams) {
-        (!plannedServes || (*upstream)->region == planned ? local : remote).push_back(candidate(*upstream, now));
+        std::vector<Candidate> &group = !plannedServes || (*upstream)->region == planned ? local : remote;
+        group.push_back(candidate(request, *upstream, group.size(), now));
     }
-    const double queue = std::max(m_options.leastQueuePerSlot, m_options.queuePerSlot - m_options.queueStep * request.route.priority);
-    const auto warmWait = std::chrono::duration_cast<base::Duration>(request.route.latencyObjective * m_options.warmWaitShare);
+    const auto cheaper = [](const Candidate &left, const Candidate &right) {
+        return left.cost < right.cost;
+    };
+    std::stable_sort(local.begin(), local.end(), cheaper);
     const auto take = [&](const Candidate &candidate, PlacementReason reason) {
         if (!admitsCold(service, **candidate.upstream, configuration, now)) {
             return false;
@@ -144,41 +154,27 @@
         result = {PlacementOutcome::Chosen, reason, *candidate.upstream, candidate.load, {}};
         return true;
     };
-    const auto hasSlot = [](const Candidate &candidate) {
-        return candidate.load + 1 <= candidate.slots;
-    };
-    const std::span<const Candidate> warm(local.data(), std::min(local.size(), m_options.warmUpstreams));
-    for (const Candidate &candidate : warm) {
-        if (hasSlot(candidate) && take(candidate, PlacementReason::Warm)) {
-            return result;
-        }
-    }
-    const auto shorterWait = [](const Candidate &left, const Candidate &right) {
-        return left.wait < right.wait;
-    };
-    const auto nearest = std::min_element(warm.begin(), warm.end(), shorterWait);
-    if (nearest != warm.end() && nearest->wait <= warmWait && take(*nearest, PlacementReason::WarmWait)) {
-        return result;
-    }
-    for (const Candidate &candidate : std::span(local).subspan(warm.size())) {
-        if (hasSlot(candidate) && take(candidate, PlacementReason::Free)) {
+    const auto spillFrom = std::chrono::duration_cast<base::Duration>(m_options.spillWait * request.route.latencyObjective);
+    if (local.front().cost > spillFrom && !remote.empty()) {
+        const auto best = std::min_element(remote.begin(), remote.end(), cheaper);
+        const bool better = best->wait == base::Duration::zero() && best->cost < local.front().cost;
+        if (better && service.spill.tryTake(now) && take(*best, PlacementReason::Spill)) {
             return result;
         }
     }
-    const auto free = std::find_if(remote.begin(), remote.end(), hasSlot);
-    if (free != remote.end() && service.spill.tryTake(now) && take(*free, PlacementReason::Spill)) {
-        return result;
-    }
-    std::sort(local.begin(), local.end(), shorterWait);
+    const double queue = std::max(m_options.leastQueuePerSlot, m_options.queuePerSlot - m_options.queueStep * request.route.priority);
     const auto affordable = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
     for (const Candidate &candidate : local) {
         const bool fits = candidate.load + 1 <= candidate.slots * (1 + queue);
-        if (fits && candidate.wait <= affordable && take(candidate, PlacementReason::Queue)) {
+        const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
+        if (fits && candidate.wait <= affordable && take(candidate, reason)) {
             return result;
         }
     }
     result.outcome = PlacementOutcome::NoRoom;
-    result.retryAfter = local.front().wait;
+    result.retryAfter = std::min_element(local.begin(), local.end(), [](const Candidate &left, const Candidate &right) {
+        return left.wait < right.wait;
+    })->wait;
     return result;
 }
 
--- a/src/ingress/upstream_book.cpp
+++ b/src/ingress/upstream_book.cpp
@@ -159,7 +159,7 @@
     upstream.outstandingAtLoad = upstream.outstanding > 0 ? upstream.outstanding - 1 : 0;
 }
 
-void UpstreamBook::ended(Upstream &upstream, AttemptVerdict verdict, base::Duration took, base::TimePoint now) const
+void UpstreamBook::ended(Upstream &upstream, AttemptVerdict verdict, base::Duration took, double loadBefore, base::TimePoint now) const
 {
     upstream.outstanding -= upstream.outstanding > 0 ? 1 : 0;
     if (verdict == AttemptVerdict::Cancelled) {
@@ -168,7 +168,8 @@
     decay(upstream, now);
     upstream.attempts += 1;
     if (verdict == AttemptVerdict::Served) {
-        const double seconds = base::toSeconds(took);
+        // What exceeds the slots waits, each for its turn.
+        const double seconds = base::toSeconds(took) / std::max(1.0, (loadBefore + 1) / std::max(1U, upstream.report.slots));
         upstream.serviceSeconds =
             upstream.serviceSeconds == 0 ? seconds : upstream.serviceSeconds + m_options.serviceTimeWeight * (seconds - upstream.serviceSeconds);
         upstream.pause = {};
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -35,8 +35,11 @@
 /// Greatest response body held. Above the largest download of today by far; a larger one is not passed on.
 constexpr std::size_t s_mostResponseBytes = 16U << 20U;
 
-/// An attempt with less time than this cannot end in time on any path.
-constexpr base::Duration s_leastUseful = std::chrono::milliseconds(40);
+/// An attempt with less time than this cannot end in time on any path, and a response needs time to reach the caller.
+constexpr base::Duration s_leastUseful = std::chrono::milliseconds(120);
+
+/// The response goes out this long before the caller's time is up, so that it still reaches the caller.
+constexpr base::Duration s_responseMargin = std::chrono::milliseconds(20);
 
 /// Longest waiting time taken from a caller; longer ones are not trusted.
 constexpr std::uint64_t s_mostWaitMilliseconds = 3'600'000;
@@ -65,18 +68,14 @@
 std::string_view reasonName(ingress::PlacementReason reason)
 {
     switch (reason) {
+    case ingress::PlacementReason::First:
+        return "first";
     case ingress::PlacementReason::Warm:
         return "warm";
-    case ingress::PlacementReason::WarmWait:
-        return "warm_wait";
-    case ingress::PlacementReason::Free:
-        return "free";
+    case ingress::PlacementReason::Cold:
+        return "cold";
     case ingress::PlacementReason::Spill:
         return "spill";
-    case ingress::PlacementReason::Queue:
-        return "queue";
-    case ingress::PlacementReason::Trial:
-        return "trial";
     case ingress::PlacementReason::None:
         break;
     }
@@ -173,7 +172,8 @@
     base::Duration most = m_route->route.timeout;
     if (const std::string *timeLeft = http::findHeader(m_request.headers, m_core.names.timeLeft)) {
         if (const auto milliseconds = http::parseNumber(*timeLeft)) {
-            most = std::min<base::Duration>(most, std::chrono::milliseconds(std::min(*milliseconds, s_mostWaitMilliseconds)));
+            const base::Duration allowed = std::chrono::milliseconds(std::min(*milliseconds, s_mostWaitMilliseconds));
+            most = std::min(most, std::max(allowed - s_responseMargin, allowed / 2));
         }
     }
     m_deadline = m_arrivedAt + most;
@@ -357,7 +357,10 @@
     if (attempt->aborted && !end.response) {
         end.verdict = m_cancelled ? AttemptVerdict::Cancelled : AttemptVerdict::Silent;
     }
-    m_core.book.ended(*attempt->upstream, end.verdict, attempt->endedAt - attempt->startedAt, attempt->endedAt);
+    m_core.book.ended(*attempt->upstream, end.verdict, attempt->endedAt - attempt->startedAt, attempt->load, attempt->endedAt);
+    if (end.verdict == AttemptVerdict::Served) {
+        attempt->upstream->warmKeys.handled(m_key, attempt->endedAt);
+    }
     attempt->end = std::move(end);
     attempt->ended = true;
     m_wakeUp.cancel();
