Let the region split follow at once while it is not in use

It now follows at once until requests have been placed. Placement estimates waiting from averaged loads; a request's log line names the planned region, the candidates and their least load.

--- a/include/trefoilstile/ingress/joint_limits.hpp
+++ b/include/trefoilstile/ingress/joint_limits.hpp
@@ -101,6 +101,9 @@
     void requestPlaced(base::TimePoint now);
     bool tryTake(base::TimePoint now);
 
+    /// Requests have been placed of late.
+    bool inUse(base::TimePoint now);
+
 private:
     void roll(base::TimePoint now);
 
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -7,6 +7,7 @@
 // time is rejected at once.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -24,10 +25,11 @@
 
 struct PlacementOptions {
     /// Extra time of cold work, as a part of the route's latency objective. Objectives lie between the time of warm and of
-    /// cold work, so that cold work takes about one objective longer.
-    double coldCost = 1.0;
-    /// The same for the second upstream of a key: it is the first to take over, so it is worth warming.
-    double secondCost = 0.6;
+    /// cold work.
+    double coldCost = 0.7;
+    /// Chance that the object is cold at an upstream of which nothing is known, by its rank for the key. Load above what the
+    /// first one takes goes to the next ones from all instances, so that those are warm before long.
+    std::array<double, 4> coldChance{0.0, 0.4, 0.7, 0.9};
     /// Part of the objective that a request may be expected to wait before one with a free slot in another region is used.
     double spillWait = 0.5;
     /// Requests waiting at an upstream beyond its slots, as a multiple of the slots: for the most urgent priority, and less
@@ -73,6 +75,9 @@
     UpstreamBook::Pointer upstream; ///< if chosen
     double load{}; ///< believed load of the chosen upstream
     base::Duration retryAfter{}; ///< if there is no room: when some is expected
+    std::string plannedRegion; ///< by the split of regions
+    std::size_t candidates{}; ///< usable upstreams in the planned region, or in all if it has none
+    double leastLoadPerSlot{}; ///< among the candidates
 };
 
 /// Placement of one entry instance.
--- a/include/trefoilstile/ingress/region_split.hpp
+++ b/include/trefoilstile/ingress/region_split.hpp
@@ -41,9 +41,10 @@
     {
     }
 
-    /// Moves the split towards what the capacities ask for; at once the first time, and away from regions without any
-    /// capacity.
-    void update(std::string_view ownRegion, const RegionCapacities &regions, base::TimePoint now);
+    /// Moves the split towards what the capacities ask for; at once away from regions without any capacity, and while it
+    /// is not in use, since upstreams become known one after the other at a start.
+    /// @param inUse requests have been placed by it of late
+    void update(std::string_view ownRegion, const RegionCapacities &regions, bool inUse, base::TimePoint now);
 
     /// Region of a key. Empty before the first update.
     /// @param point of the key, uniform in [0, 1)
--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -66,7 +66,10 @@
     base::Duration longestPause = std::chrono::seconds(4); ///< bounded, since an upstream may return unannounced
     /// Weight of the newest service time in the moving average.
     double serviceTimeWeight = 0.15;
-    base::Duration loadFigureLifetime = std::chrono::seconds(2); ///< older figures say nothing; own requests still count
+    base::Duration loadFigureLifetime = std::chrono::seconds(3); ///< older figures say nothing; own requests still count
+    /// Time constant of the average of stated loads. A single figure is out of date when it arrives at other requests:
+    /// slots turn over several times between two figures.
+    base::Duration loadMemory = std::chrono::milliseconds(600);
 };
 
 /// State of one upstream. Owned by the book; requests in flight share it.
@@ -80,9 +83,9 @@
 
     std::uint32_t outstanding{}; ///< requests of this instance at it
     std::uint32_t openConnections{}; ///< of this instance
-    LoadFigure load;
+    LoadFigure load; ///< last one stated
     base::TimePoint loadAt; ///< arrival of `load`
-    std::uint32_t outstandingAtLoad{}; ///< own requests that `load` counts
+    double othersLoad{}; ///< moving average of the stated load without own requests
     double serviceSeconds{}; ///< moving average of the time in a slot; 0: nothing known
     WarmKeys warmKeys;
 
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -59,6 +59,8 @@
     std::size_t requests{}; ///< being served
 
 private:
+    void splitRegions(base::TimePoint now);
+
     std::map<std::string, ingress::RetryShare, std::less<>> m_retryShares; ///< by service
 };
 
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -93,6 +93,7 @@
     bool m_mayHaveRun = false; ///< an attempt ended without proof that it did not run
     bool m_cancelled = false;
     std::string m_outcome; ///< for the log
+    ingress::PlacementResult m_placed; ///< last placement, for the log
     boost::asio::steady_timer m_wakeUp;
 };
 
--- a/src/ingress/joint_limits.cpp
+++ b/src/ingress/joint_limits.cpp
@@ -95,6 +95,13 @@
     return true;
 }
 
+bool SpillLimit::inUse(base::TimePoint now)
+{
+    roll(now);
+    constexpr double least = 0.5; // decayed number of requests
+    return m_requests > least;
+}
+
 void SpillLimit::roll(base::TimePoint now)
 {
     const double factor = std::exp(-base::toSeconds(now - m_since) / base::toSeconds(s_spillMemory));
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -3,6 +3,7 @@
 #include "trefoilstile/ingress/placement.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -26,6 +27,17 @@
     return route.homeRegions.empty() || std::find(route.homeRegions.begin(), route.homeRegions.end(), region) != route.homeRegions.end();
 }
 
+/// Least value of a function of the items, which must not be empty.
+template<typename Items, typename Value>
+auto leastOf(const Items &items, Value value)
+{
+    auto least = value(items.front());
+    for (const auto &item : items) {
+        least = std::min(least, value(item));
+    }
+    return least;
+}
+
 } // namespace
 
 Placement::ServiceState &Placement::state(std::string_view service)
@@ -53,7 +65,7 @@
         }
         ServiceState &serviceState = state(name);
         if (known) {
-            serviceState.split.update(m_ownRegion, regions, now);
+            serviceState.split.update(m_ownRegion, regions, serviceState.spill.inUse(now), now);
         }
         std::erase_if(serviceState.warmUp, [&](const auto &entry) {
             const auto &upstreams = m_book.ofService(name);
@@ -88,13 +100,15 @@
     result.load = m_book.load(*upstream, now);
     result.slots = static_cast<double>(std::max(1U, upstream->report.slots));
     result.warm = upstream->warmKeys.contains(request.key, now);
+    // The load varies around what is believed of it as arrivals do, with a variance equal to it. The expected part above the
+    // slots is approximated by a smooth function that is exact far from the slots and near them.
     const double excess = result.load + 1 - result.slots;
-    if (excess > 0) {
-        const double service = upstream->serviceSeconds > 0 ? upstream->serviceSeconds : base::toSeconds(m_options.assumedServiceTime);
-        result.wait = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(excess / result.slots * service));
-    }
-    const double coldCost = rank == 0 || result.warm ? 0.0 : rank == 1 ? m_options.secondCost : m_options.coldCost;
-    result.cost = result.wait + std::chrono::duration_cast<base::Duration>(coldCost * request.route.latencyObjective);
+    constexpr double spread = 0.64; // gives 0.4 standard deviations where the mean equals the slots
+    const double waiting = 0.5 * (excess + std::sqrt(excess * excess + spread * result.load));
+    const double service = upstream->serviceSeconds > 0 ? upstream->serviceSeconds : base::toSeconds(m_options.assumedServiceTime);
+    result.wait = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(waiting / result.slots * service));
+    const double cold = rank == 0 || result.warm ? 0.0 : rank < m_options.coldChance.size() ? m_options.coldChance[rank] : 1.0;
+    result.cost = result.wait + std::chrono::duration_cast<base::Duration>(cold * m_options.coldCost * request.route.latencyObjective);
     return result;
 }
 
@@ -147,17 +161,25 @@
         return left.cost < right.cost;
     };
     std::stable_sort(local.begin(), local.end(), cheaper);
+    result.plannedRegion = planned;
+    result.candidates = local.size();
+    result.leastLoadPerSlot = leastOf(local, [](const Candidate &candidate) {
+        return candidate.load / candidate.slots;
+    });
     const auto take = [&](const Candidate &candidate, PlacementReason reason) {
         if (!admitsCold(service, **candidate.upstream, configuration, now)) {
             return false;
         }
-        result = {PlacementOutcome::Chosen, reason, *candidate.upstream, candidate.load, {}};
+        result.outcome = PlacementOutcome::Chosen;
+        result.reason = reason;
+        result.upstream = *candidate.upstream;
+        result.load = candidate.load;
         return true;
     };
     const auto spillFrom = std::chrono::duration_cast<base::Duration>(m_options.spillWait * request.route.latencyObjective);
     if (local.front().cost > spillFrom && !remote.empty()) {
         const auto best = std::min_element(remote.begin(), remote.end(), cheaper);
-        const bool better = best->wait == base::Duration::zero() && best->cost < local.front().cost;
+        const bool better = best->load + 1 <= best->slots && best->cost < local.front().cost;
         if (better && service.spill.tryTake(now) && take(*best, PlacementReason::Spill)) {
             return result;
         }
@@ -172,9 +194,9 @@
         }
     }
     result.outcome = PlacementOutcome::NoRoom;
-    result.retryAfter = std::min_element(local.begin(), local.end(), [](const Candidate &left, const Candidate &right) {
-        return left.wait < right.wait;
-    })->wait;
+    result.retryAfter = leastOf(local, [](const Candidate &candidate) {
+        return candidate.wait;
+    });
     return result;
 }
 
--- a/src/ingress/region_split.cpp
+++ b/src/ingress/region_split.cpp
@@ -51,7 +51,7 @@
     return shares;
 }
 
-void RegionSplit::update(std::string_view ownRegion, const RegionCapacities &regions, base::TimePoint now)
+void RegionSplit::update(std::string_view ownRegion, const RegionCapacities &regions, bool inUse, base::TimePoint now)
 {
     const auto target = balancedShares(ownRegion, regions, m_options.localPreference);
     const auto hasCapacity = [&](const std::string &name) {
@@ -61,7 +61,7 @@
     const bool lost = std::any_of(m_shares.begin(), m_shares.end(), [&](const auto &entry) {
         return entry.second > 0 && !hasCapacity(entry.first);
     });
-    if (!m_updatedAt || m_ownRegion != ownRegion || lost) {
+    if (!m_updatedAt || !inUse || lost) {
         m_shares = target;
         m_ownRegion = ownRegion;
         m_updatedAt = now;
--- a/src/ingress/upstream_book.cpp
+++ b/src/ingress/upstream_book.cpp
@@ -136,11 +136,7 @@
     if (upstream.loadAt == base::TimePoint() || now - upstream.loadAt > m_options.loadFigureLifetime) {
         return upstream.outstanding;
     }
-    const double stated = upstream.load.running + upstream.load.waiting;
-    const double others = std::max(0.0, stated - upstream.outstandingAtLoad);
-    // Requests of others end too: what they had then counts less the older the figure is.
-    const double freshness = 1.0 - 0.5 * base::toSeconds(now - upstream.loadAt) / base::toSeconds(m_options.loadFigureLifetime);
-    return others * freshness + upstream.outstanding;
+    return upstream.othersLoad + upstream.outstanding;
 }
 
 void UpstreamBook::sent(Upstream &upstream, base::TimePoint now)
@@ -153,10 +149,14 @@
 
 void UpstreamBook::loadStated(Upstream &upstream, const LoadFigure &figure, base::TimePoint now) const
 {
+    // The response that states the figure has not been taken off `outstanding` yet, and the figure does not count it.
+    const double own = upstream.outstanding > 0 ? upstream.outstanding - 1 : 0;
+    const double others = std::max(0.0, figure.running + figure.waiting - own);
+    const bool known = upstream.loadAt != base::TimePoint() && now - upstream.loadAt <= m_options.loadFigureLifetime;
+    const double kept = known ? std::exp(-base::toSeconds(now - upstream.loadAt) / base::toSeconds(m_options.loadMemory)) : 0;
+    upstream.othersLoad = kept * upstream.othersLoad + (1 - kept) * others;
     upstream.load = figure;
     upstream.loadAt = now;
-    // The response that states the figure has not been taken off `outstanding` yet.
-    upstream.outstandingAtLoad = upstream.outstanding > 0 ? upstream.outstanding - 1 : 0;
 }
 
 void UpstreamBook::ended(Upstream &upstream, AttemptVerdict verdict, base::Duration took, double loadBefore, base::TimePoint now) const
--- /dev/null
+++ b/src/ingress/upstream_book_test.cpp
@@ -0,0 +1,175 @@
+// Tests of what is believed of upstreams after reports, outages of their source, and attempts.
+
+#include "trefoilstile/ingress/upstream_book.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace trefoilstile::ingress
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::TimePoint s_start = base::TimePoint(100s);
+
+UpstreamReport report(std::string id)
+{
+    UpstreamReport result;
+    result.id = std::move(id);
+    result.service = "ledger";
+    result.address = "127.0.0.1:1000";
+    result.failureDomain = "east";
+    result.slots = 4;
+    return result;
+}
+
+/// Book whose source has been in reach for long.
+UpstreamBook soundBook()
+{
+    UpstreamBook book;
+    book.setRegions({{"east", "one"}});
+    Configuration configuration;
+    Service service;
+    service.name = "ledger";
+    service.warmUp = 3s;
+    configuration.services.emplace(service.name, service);
+    book.setServices(configuration);
+    book.sourceAvailable(true, s_start - 60s);
+    return book;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UpstreamBookSuite)
+
+// Guards against requests to an upstream that has left while its source is sound.
+BOOST_AUTO_TEST_CASE(removalIsBelievedAtOnceWhenTheSourceIsSound)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    const UpstreamBook::Pointer upstream = book.ofService("ledger").front();
+    BOOST_TEST(book.usable(*upstream));
+    book.remove("a", s_start);
+    BOOST_TEST(!book.usable(*upstream));
+    BOOST_TEST(book.ofService("ledger").empty());
+}
+
+// Guards against giving up all upstreams whose entries lapsed while the source was away.
+BOOST_AUTO_TEST_CASE(lapsedEntryIsKeptUntilItCouldBeBack)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    book.sourceAvailable(false, s_start + 1s);
+    book.sourceAvailable(true, s_start + 9s);
+    book.remove("a", s_start + 9s);
+    book.advance(s_start + 10s);
+    BOOST_TEST(book.ofService("ledger").size() == 1U);
+    book.report(report("a"), s_start + 10s);
+    book.advance(s_start + 20s);
+    BOOST_TEST(book.ofService("ledger").size() == 1U);
+}
+
+// Guards against keeping an upstream that did not come back after its source did.
+BOOST_AUTO_TEST_CASE(lapsedEntryThatStaysAwayIsGone)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    book.sourceAvailable(false, s_start + 1s);
+    book.sourceAvailable(true, s_start + 9s);
+    book.remove("a", s_start + 9s);
+    book.advance(s_start + 9s + BookOptions().lapseHold);
+    BOOST_TEST(book.ofService("ledger").empty());
+}
+
+// Guards against treating a planned departure as a lapse.
+BOOST_AUTO_TEST_CASE(drainingEntryIsGoneAlsoRightAfterAnOutage)
+{
+    UpstreamBook book = soundBook();
+    UpstreamReport leaving = report("a");
+    leaving.draining = true;
+    book.report(leaving, s_start);
+    book.sourceAvailable(false, s_start + 1s);
+    book.sourceAvailable(true, s_start + 2s);
+    book.remove("a", s_start + 2s);
+    BOOST_TEST(book.ofService("ledger").empty());
+}
+
+// Guards against taking a new run of a process for the one before: counts and warm objects are not its own.
+BOOST_AUTO_TEST_CASE(newRunUnderTheSameIdStartsAnew)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    const UpstreamBook::Pointer before = book.ofService("ledger").front();
+    book.sent(*before, s_start);
+    UpstreamReport again = report("a");
+    again.startedAt = 7;
+    again.warmUpLeft = 2s;
+    book.report(again, s_start + 1s);
+    const UpstreamBook::Pointer after = book.ofService("ledger").front();
+    BOOST_TEST(before->gone);
+    BOOST_TEST(after->outstanding == 0U);
+    BOOST_TEST((after->coldUntil > s_start + 3s));
+}
+
+// Guards against a burst at upstreams that became cold while their failure domain was evacuated.
+BOOST_AUTO_TEST_CASE(upstreamsAreTakenForColdAfterAnEvacuation)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    const UpstreamBook::Pointer upstream = book.ofService("ledger").front();
+    book.setEvacuated({"east"}, s_start);
+    BOOST_TEST(!book.usable(*upstream));
+    book.setEvacuated({}, s_start + 8s);
+    BOOST_TEST(book.usable(*upstream));
+    BOOST_TEST((upstream->coldUntil == s_start + 11s));
+}
+
+// Guards against sending on to an upstream that fails while its health looks good, and against never trying it again.
+BOOST_AUTO_TEST_CASE(failingUpstreamIsAvoidedAndTriedNowAndThen)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    Upstream &upstream = *book.ofService("ledger").front();
+    for (int i = 0; i < 6; ++i) {
+        book.sent(upstream, s_start);
+        book.ended(upstream, i % 2 == 0 ? AttemptVerdict::Broken : AttemptVerdict::Served, 10ms, 0, s_start);
+    }
+    BOOST_TEST(book.avoided(upstream, s_start));
+    BOOST_TEST(book.trialDue(upstream, s_start));
+    book.sent(upstream, s_start);
+    BOOST_TEST(!book.trialDue(upstream, s_start + 100ms));
+    BOOST_TEST(book.trialDue(upstream, s_start + BookOptions().probation));
+    BOOST_TEST(!book.avoided(upstream, s_start + 30s));
+}
+
+// Guards against counting own requests twice: once as stated by the upstream and once as outstanding.
+BOOST_AUTO_TEST_CASE(loadCountsOwnRequestsOnce)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    Upstream &upstream = *book.ofService("ledger").front();
+    book.sent(upstream, s_start);
+    book.sent(upstream, s_start);
+    // Three run at the upstream: one of another instance, the one that is answered is not counted any more.
+    book.loadStated(upstream, {2, 0, 4}, s_start);
+    book.ended(upstream, AttemptVerdict::Served, 10ms, 0, s_start);
+    BOOST_TEST(book.load(upstream, s_start) == 2.0);
+    BOOST_TEST(book.load(upstream, s_start + 10s) == 1.0);
+}
+
+// Guards against the time in the queue being taken for the time of the work.
+BOOST_AUTO_TEST_CASE(serviceTimeLeavesOutTheQueue)
+{
+    UpstreamBook book = soundBook();
+    book.report(report("a"), s_start);
+    Upstream &upstream = *book.ofService("ledger").front();
+    book.sent(upstream, s_start);
+    book.ended(upstream, AttemptVerdict::Served, 300ms, 11, s_start); // 12 requests at 4 slots: three turns
+    BOOST_TEST(upstream.serviceSeconds == 0.1, boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace trefoilstile::ingress
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -33,10 +33,18 @@
     configuration = std::move(newer);
     routes = std::make_unique<ingress::RouteIndex>(configuration);
     book.setServices(configuration);
-    placement.advance(configuration, now);
+    splitRegions(now);
     return true;
 }
 
+void EntryCore::splitRegions(base::TimePoint now)
+{
+    // A split made from part of the upstreams would be left only slowly.
+    if (routes && upstreamsKnown) {
+        placement.advance(configuration, now);
+    }
+}
+
 ingress::RetryShare &EntryCore::retryShare(std::string_view service)
 {
     auto found = m_retryShares.find(service);
@@ -55,9 +63,7 @@
 void EntryCore::advance(base::TimePoint now)
 {
     book.advance(now);
-    if (routes) {
-        placement.advance(configuration, now);
-    }
+    splitRegions(now);
     connections.sweep(now);
     log.flush();
 }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -284,7 +284,8 @@
     }
     const ingress::Route &route = m_route->route;
     const ingress::PlacementRequest request{route, m_service, m_key, tried, m_deadline - now, m_arrivedAt + route.latencyObjective - now};
-    const ingress::PlacementResult placed = m_core.placement.choose(request, m_core.configuration, now);
+    m_placed = m_core.placement.choose(request, m_core.configuration, now);
+    const ingress::PlacementResult &placed = m_placed;
     if (placed.outcome == ingress::PlacementOutcome::Chosen) {
         launch(placed, now);
         return std::nullopt;
@@ -502,6 +503,8 @@
     line.number("configuration", static_cast<std::int64_t>(m_core.configuration.version));
     if (m_route) {
         line.text("route", m_route->route.name).text("service", m_service).milliseconds("time_allowed_ms", m_deadline - m_arrivedAt);
+        line.text("planned_region", m_placed.plannedRegion).number("candidates", static_cast<std::int64_t>(m_placed.candidates));
+        line.real("least_load_per_slot", m_placed.leastLoadPerSlot);
     }
     for (std::size_t i = 0; i < m_attempts.size(); ++i) {
         const Attempt &attempt = *m_attempts[i];
--- /dev/null
+++ b/src/proxy/settings_test.cpp
@@ -0,0 +1,130 @@
+// Tests of the settings of the entry process.
+
+#include "trefoilstile/proxy/settings.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include <boost/test/unit_test.hpp>
+#include <unistd.h>
+
+namespace trefoilstile::proxy
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr const char *s_variable = "TREFOILSTILE_TEST_SETTINGS";
+
+std::vector<std::string> complete()
+{
+    return {"--name=a",
+        "--region=one",
+        "--failure-domain=east",
+        "--caller-address=127.0.0.1:1",
+        "--lookup-address=127.0.0.1:2",
+        "--readiness-address=127.0.0.1:3",
+        "--peer-address=127.0.0.1:4",
+        "--metrics-address=127.0.0.1:5",
+        "--store-address=127.0.0.1:6"};
+}
+
+std::string errorOf(std::vector<std::string> arguments)
+{
+    try {
+        parseSettings(arguments, s_variable);
+    } catch (const SettingsError &error) {
+        return error.what();
+    }
+    return {};
+}
+
+/// A settings file that is removed at the end.
+struct SettingsFile {
+    explicit SettingsFile(const std::string &text)
+        : path((std::filesystem::temp_directory_path() / ("trefoilstile-settings-" + std::to_string(::getpid()))).string())
+    {
+        std::ofstream(path) << text;
+        ::setenv(s_variable, path.c_str(), 1);
+    }
+    ~SettingsFile()
+    {
+        ::unsetenv(s_variable);
+        std::filesystem::remove(path);
+    }
+    SettingsFile(const SettingsFile &) = delete;
+    SettingsFile &operator=(const SettingsFile &) = delete;
+
+    std::string path;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EntrySettings)
+
+// Guards against spans read with a wrong unit.
+BOOST_AUTO_TEST_CASE(spansHaveAUnit)
+{
+    BOOST_TEST((parseSpan("1500ms") == 1500ms));
+    BOOST_TEST((parseSpan("2.5s") == 2500ms));
+    for (const char *wrong : {"", "5", "s", "1.2.3s", "-1s", "5 s", "5m", "1e99s"}) {
+        BOOST_CHECK_THROW(parseSpan(wrong), SettingsError);
+    }
+}
+
+// Guards against a start with a wrong value, and against a message that does not say which.
+BOOST_AUTO_TEST_CASE(wrongValueIsNamed)
+{
+    auto arguments = complete();
+    BOOST_TEST(errorOf(arguments).empty());
+    arguments.back() = "--store-address=nowhere";
+    const std::string error = errorOf(arguments);
+    BOOST_TEST(error.find("--store-address") != std::string::npos);
+    BOOST_TEST(error.find("'nowhere' is not allowed") != std::string::npos);
+    arguments.pop_back();
+    BOOST_TEST(errorOf(arguments).find("--store-address") != std::string::npos);
+    arguments = complete();
+    arguments.push_back("--retry-ratio=3");
+    BOOST_TEST(errorOf(arguments).find("--retry-ratio") != std::string::npos);
+}
+
+// Guards against settings of the file being ignored, and against a flag that does not win over the file.
+BOOST_AUTO_TEST_CASE(fileGivesTheSettings)
+{
+    const SettingsFile file(R"(name = "front-1"
+region = "one"
+failure-domain = "east"
+domain-region = ["east=one","north=two"]
+caller-address = "127.0.0.1:1"
+lookup-address = "127.0.0.1:2"
+readiness-address = "127.0.0.1:3"
+peer-address = "127.0.0.1:4"
+metrics-address = "127.0.0.1:5"
+store-address = "127.0.0.1:6"
+memory-megabytes = 260
+stop-grace = "6s"
+retry-slack = 64
+)");
+    const Settings settings = parseSettings({}, s_variable);
+    BOOST_TEST(settings.name == "front-1");
+    BOOST_TEST(settings.regions.at("north") == "two");
+    BOOST_TEST((settings.stopGrace == 6s));
+    BOOST_TEST(settings.retrySlack == 64.0);
+    const std::vector<std::string> flag{"--name=other"};
+    BOOST_TEST(parseSettings(flag, s_variable).name == "other");
+}
+
+// Guards against a start without the file that the environment names.
+BOOST_AUTO_TEST_CASE(missingFileIsAnError)
+{
+    ::setenv(s_variable, "/nonexistent/settings", 1);
+    BOOST_TEST(!errorOf(complete()).empty());
+    ::unsetenv(s_variable);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace trefoilstile::proxy
--- /dev/null
+++ b/src/proxy/table_watch_test.cpp
@@ -0,0 +1,151 @@
+// Tests of following a table of the store, with a store that is scripted.
+
+#include "trefoilstile/proxy/table_watch.hpp"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace trefoilstile::proxy
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Gives prepared results in order, then ends the event loop.
+struct ScriptedStore {
+    boost::asio::io_context &context;
+    std::deque<StoreResult> results;
+    std::vector<std::string> questions;
+
+    boost::asio::awaitable<StoreResult> next(std::string question)
+    {
+        questions.push_back(std::move(question));
+        if (results.empty()) {
+            context.stop();
+            co_return StoreResult{};
+        }
+        StoreResult result = std::move(results.front());
+        results.pop_front();
+        co_return result;
+    }
+
+    boost::asio::awaitable<StoreResult> readAll(std::string)
+    {
+        return next("all");
+    }
+    boost::asio::awaitable<StoreResult> readChanges(std::string, std::uint64_t after, base::Duration)
+    {
+        return next("after " + std::to_string(after));
+    }
+    boost::asio::awaitable<StoreResult> writeIf(std::string, std::string, std::string, std::uint64_t)
+    {
+        return next("write");
+    }
+    boost::asio::awaitable<StoreResult> write(std::string, std::string, std::string)
+    {
+        return next("write");
+    }
+};
+
+struct Recorder {
+    std::vector<std::string> events;
+
+    void rowChanged(const StoreRow &row)
+    {
+        events.push_back((row.removed ? "-" : "+") + row.key);
+    }
+    void tableRead()
+    {
+        events.emplace_back("read");
+    }
+    void storeLost(std::string_view)
+    {
+        events.emplace_back("lost");
+    }
+    void storeRegained()
+    {
+        events.emplace_back("regained");
+    }
+};
+
+StoreResult rows(std::uint64_t version, std::vector<StoreRow> changed)
+{
+    StoreResult result;
+    result.status = StoreStatus::Ok;
+    result.version = version;
+    result.rows = std::move(changed);
+    return result;
+}
+
+StoreResult failed(StoreStatus status)
+{
+    StoreResult result;
+    result.status = status;
+    return result;
+}
+
+struct Played {
+    std::vector<std::string> events;
+    std::vector<std::string> questions;
+};
+
+Played play(std::deque<StoreResult> results)
+{
+    boost::asio::io_context context;
+    ScriptedStore store{context, std::move(results), {}};
+    Recorder recorder;
+    TableWatchOptions options;
+    options.gather = 1ms;
+    options.firstBackoff = 1ms;
+    options.longestBackoff = 2ms;
+    TableWatch<ScriptedStore, Recorder> watch(context, store, recorder, "table", 1, options);
+    boost::asio::co_spawn(
+        context,
+        [&watch]() {
+            return watch.run();
+        },
+        boost::asio::detached);
+    context.run();
+    return {recorder.events, store.questions};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TableWatchSuite)
+
+// Guards against changes that are missed between reading the table and the first question for changes.
+BOOST_AUTO_TEST_CASE(changesFollowTheTable)
+{
+    const Played played = play({rows(5, {{"a", "1", 3, false}}), rows(8, {{"b", "1", 7, false}, {"a", "", 8, true}})});
+    BOOST_TEST((played.events == std::vector<std::string>{"regained", "+a", "read", "+b", "-a", "lost"}));
+    BOOST_TEST((played.questions == std::vector<std::string>{"all", "after 5", "after 8"}));
+}
+
+// Guards against rows that were removed in the part of the history that is lost.
+BOOST_AUTO_TEST_CASE(lostHistoryIsReadAnew)
+{
+    const Played played = play({rows(5, {{"a", "1", 3, false}, {"b", "1", 4, false}}), failed(StoreStatus::HistoryLost), rows(9, {{"b", "1", 4, false}})});
+    const std::vector<std::string> expected{"regained", "+a", "+b", "read", "+b", "-a", "read", "lost"};
+    BOOST_TEST((played.events == expected));
+    BOOST_TEST((played.questions == std::vector<std::string>{"all", "after 5", "all", "after 9"}));
+}
+
+// Guards against forgetting what was known while the store does not answer.
+BOOST_AUTO_TEST_CASE(outageKeepsWhatIsKnown)
+{
+    const Played played =
+        play({rows(5, {{"a", "1", 3, false}}), failed(StoreStatus::Failed), failed(StoreStatus::Refused), rows(6, {{"c", "1", 6, false}})});
+    BOOST_TEST((played.events == std::vector<std::string>{"regained", "+a", "read", "lost", "regained", "+c", "lost"}));
+    BOOST_TEST((played.questions == std::vector<std::string>{"all", "after 5", "after 5", "after 5", "after 6"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace trefoilstile::proxy
