Refuse cold work on busy upstreams, follow lost capacity, shift by load

Cold work is taken up to three quarters of the slots only, a loss of capacity moves the split at 0.25 per second, and lasting load of the own region at 0.03.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -37,10 +38,22 @@
     double queuePerSlot = 1.6;
     double queueStep = 0.35;
     double leastQueuePerSlot = 0.7;
+    /// Part of the slots up to which an upstream takes work that is cold there. Cold work takes several times as long, so on a
+    /// busy upstream it would displace more work than it does, and a service that is full would stay cold.
+    double coldFill = 0.75;
     /// Requests spilled to other regions for want of room, as a part of all: below the shift that operators allow.
     double spillShare = 0.05;
     /// Time of an attempt at an upstream of which nothing is known.
     base::Duration assumedServiceTime = std::chrono::milliseconds(100);
+    /// Load per slot of the own region from which callers are sent elsewhere, if it is also above that of another region by
+    /// `imbalance`; below `relaxedLoad` they return.
+    double pressedLoad = 0.9;
+    double relaxedLoad = 0.55;
+    double imbalance = 0.3;
+    double biasPerSecond = 0.03; ///< change of the part of the own region's share that is sent elsewhere
+    double mostBias = 0.6;
+    /// A rejected caller is told to stay away for at least this long: queues do not drain faster.
+    base::Duration leastRetryAfter = std::chrono::milliseconds(300);
     /// Part of the time left that an answer may be predicted to take.
     double deadlineShare = 0.9;
 };
@@ -123,11 +136,14 @@
 
     struct ServiceState {
         RegionSplit split;
+        double bias{}; ///< part of the own region's callers that are sent elsewhere because of its load
+        std::optional<base::TimePoint> biasedAt;
         SpillLimit spill{0};
         std::map<const Upstream *, WarmUpShare> warmUp;
     };
 
     ServiceState &state(std::string_view service);
+    void updateBias(std::string_view service, ServiceState &serviceState, base::TimePoint now);
     bool admitsCold(ServiceState &service, const Upstream &upstream, const Configuration &configuration, base::TimePoint now);
     Candidate candidate(const PlacementRequest &request, const UpstreamBook::Pointer &upstream, std::size_t rank, base::TimePoint now) const;
     std::vector<const UpstreamBook::Pointer *> ranked(const PlacementRequest &request, base::TimePoint now) const;
--- a/include/trefoilstile/ingress/region_split.hpp
+++ b/include/trefoilstile/ingress/region_split.hpp
@@ -5,6 +5,7 @@
 // no region receives a sudden load of cold work.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -20,6 +21,12 @@
     /// Part of the requests that may change region per second; with spilled requests this stays below the 0.15 per 2 s
     /// that the operators allow.
     double shiftPerSecond = 0.02;
+    /// The same while a region has lost capacity: staying would fail requests, and the loss itself is no planned shift.
+    double lossShiftPerSecond = 0.25;
+    /// Part of its recent capacity below which a region counts as having lost some.
+    double lossLimit = 0.85;
+    /// Time constant of the recent capacity.
+    base::Duration capacityMemory = std::chrono::seconds(10);
     /// Load that a region takes from its own callers, as a multiple of the mean load of all regions, before it sends
     /// callers elsewhere.
     double localPreference = 1.3;
@@ -57,7 +64,10 @@
     RegionSplitOptions m_options;
     std::string m_ownRegion;
     std::map<std::string, double, std::less<>> m_shares; ///< sum is 1 once updated
+    std::map<std::string, double, std::less<>> m_recentCapacity; ///< follows a rise at once and a fall slowly
     std::optional<base::TimePoint> m_updatedAt;
+
+    bool lossNoticed(const RegionCapacities &regions, base::Duration elapsed);
 };
 
 /// Shares of the requests of `ownRegion`: it keeps what fits its part of the capacity, and the rest goes to regions with
--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -149,6 +149,9 @@
     /// Requests at the upstream, of all instances as far as known.
     double load(const Upstream &upstream, base::TimePoint now) const;
 
+    /// The upstream has stated its load of late.
+    bool loadKnown(const Upstream &upstream, base::TimePoint now) const;
+
     void sent(Upstream &upstream, base::TimePoint now);
     void loadStated(Upstream &upstream, const LoadFigure &figure, base::TimePoint now) const;
     /// @param took time of the attempt
--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -44,7 +44,7 @@
 {
     auto found = m_services.find(service);
     if (found == m_services.end()) {
-        found = m_services.emplace(std::string(service), ServiceState{RegionSplit(), SpillLimit(m_options.spillShare), {}}).first;
+        found = m_services.emplace(std::string(service), ServiceState{RegionSplit(), 0, std::nullopt, SpillLimit(m_options.spillShare), {}}).first;
     }
     return found->second;
 }
@@ -58,12 +58,16 @@
         }
         bool known = false;
         for (const UpstreamBook::Pointer &upstream : m_book.ofService(name)) {
-            if (m_book.usable(*upstream)) {
+            if (m_book.usable(*upstream) && !m_book.avoided(*upstream, now)) {
                 regions[upstream->region].capacity += upstream->report.slots;
                 known = true;
             }
         }
         ServiceState &serviceState = state(name);
+        updateBias(name, serviceState, now);
+        if (const auto own = regions.find(m_ownRegion); own != regions.end()) {
+            own->second.demand /= 1 - serviceState.bias;
+        }
         if (known) {
             serviceState.split.update(m_ownRegion, regions, serviceState.spill.inUse(now), now);
         }
@@ -76,6 +80,39 @@
     }
 }
 
+void Placement::updateBias(std::string_view service, ServiceState &serviceState, base::TimePoint now)
+{
+    struct Load {
+        double load{};
+        double slots{};
+    };
+    std::map<std::string_view, Load> loads;
+    for (const UpstreamBook::Pointer &upstream : m_book.ofService(service)) {
+        if (m_book.usable(*upstream) && !m_book.avoided(*upstream, now) && m_book.loadKnown(*upstream, now)) {
+            Load &load = loads[upstream->region];
+            load.load += m_book.load(*upstream, now);
+            load.slots += std::max(1U, upstream->report.slots);
+        }
+    }
+    const base::Duration elapsed = serviceState.biasedAt ? now - *serviceState.biasedAt : base::Duration::zero();
+    serviceState.biasedAt = now;
+    const auto own = loads.find(m_ownRegion);
+    if (own == loads.end()) {
+        return;
+    }
+    const double ownLoad = own->second.load / own->second.slots;
+    bool elsewhereLess = false;
+    for (const auto &[region, load] : loads) {
+        elsewhereLess = elsewhereLess || load.load / load.slots + m_options.imbalance < ownLoad;
+    }
+    const double change = m_options.biasPerSecond * base::toSeconds(elapsed);
+    if (ownLoad > m_options.pressedLoad && elsewhereLess) {
+        serviceState.bias = std::min(m_options.mostBias, serviceState.bias + change);
+    } else if (ownLoad < m_options.relaxedLoad) {
+        serviceState.bias = std::max(0.0, serviceState.bias - change);
+    }
+}
+
 bool Placement::admitsCold(ServiceState &service, const Upstream &upstream, const Configuration &configuration, base::TimePoint now)
 {
     if (upstream.coldUntil <= now) {
@@ -187,16 +224,17 @@
     const double queue = std::max(m_options.leastQueuePerSlot, m_options.queuePerSlot - m_options.queueStep * request.route.priority);
     const auto affordable = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
     for (const Candidate &candidate : local) {
-        const bool fits = candidate.load + 1 <= candidate.slots * (1 + queue);
+        const bool cold = candidate.rank != 0 && !candidate.warm;
+        const bool fits = candidate.load + 1 <= candidate.slots * (cold ? m_options.coldFill : 1 + queue);
         const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
         if (fits && candidate.wait <= affordable && take(candidate, reason)) {
             return result;
         }
     }
     result.outcome = PlacementOutcome::NoRoom;
-    result.retryAfter = leastOf(local, [](const Candidate &candidate) {
+    result.retryAfter = std::max(m_options.leastRetryAfter, leastOf(local, [](const Candidate &candidate) {
         return candidate.wait;
-    });
+    }));
     return result;
 }
 
--- a/src/ingress/region_split.cpp
+++ b/src/ingress/region_split.cpp
@@ -3,6 +3,7 @@
 #include "trefoilstile/ingress/region_split.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace trefoilstile::ingress
 {
@@ -51,6 +52,22 @@
     return shares;
 }
 
+bool RegionSplit::lossNoticed(const RegionCapacities &regions, base::Duration elapsed)
+{
+    const double kept = std::exp(-base::toSeconds(elapsed) / base::toSeconds(m_options.capacityMemory));
+    bool lost = false;
+    for (auto &[name, recent] : m_recentCapacity) {
+        const auto found = regions.find(name);
+        const double capacity = found == regions.end() ? 0.0 : found->second.capacity;
+        recent = std::max(capacity, kept * recent + (1 - kept) * capacity);
+        lost = lost || capacity < m_options.lossLimit * recent;
+    }
+    for (const auto &[name, region] : regions) {
+        m_recentCapacity.try_emplace(name, region.capacity);
+    }
+    return lost;
+}
+
 void RegionSplit::update(std::string_view ownRegion, const RegionCapacities &regions, bool inUse, base::TimePoint now)
 {
     const auto target = balancedShares(ownRegion, regions, m_options.localPreference);
@@ -61,6 +78,7 @@
     const bool lost = std::any_of(m_shares.begin(), m_shares.end(), [&](const auto &entry) {
         return entry.second > 0 && !hasCapacity(entry.first);
     });
+    const bool capacityLost = lossNoticed(regions, m_updatedAt ? now - *m_updatedAt : base::Duration::zero());
     if (!m_updatedAt || !inUse || lost) {
         m_shares = target;
         m_ownRegion = ownRegion;
@@ -71,7 +89,7 @@
     for (const auto &[name, share] : target) {
         distance += std::max(0.0, share - this->share(name));
     }
-    const double allowed = m_options.shiftPerSecond * base::toSeconds(now - *m_updatedAt);
+    const double allowed = (capacityLost ? m_options.lossShiftPerSecond : m_options.shiftPerSecond) * base::toSeconds(now - *m_updatedAt);
     m_updatedAt = now;
     const double step = distance > allowed ? allowed / distance : 1.0;
     std::map<std::string, double, std::less<>> moved;
--- a/src/ingress/region_split_test.cpp
+++ b/src/ingress/region_split_test.cpp
@@ -92,6 +92,18 @@
     BOOST_TEST(split.share("one") == 0.0);
 }
 
+// Guards against requests that fail for many seconds because half of a region is gone and its callers stay.
+BOOST_AUTO_TEST_CASE(lossOfCapacityIsFollowedWithinSeconds)
+{
+    RegionSplit split;
+    split.update("one", capacities(108, 18, 90), true, s_start);
+    BOOST_TEST(split.share("one") == 1.0);
+    for (int i = 1; i <= 20; ++i) {
+        split.update("one", capacities(36, 18, 90), true, s_start + i * 100ms);
+    }
+    BOOST_TEST(split.share("one") < 0.8);
+}
+
 // Guards against keys that change region although the split is the same, or more of them than the split says.
 BOOST_AUTO_TEST_CASE(keysFollowTheShares)
 {
--- a/src/ingress/upstream_book.cpp
+++ b/src/ingress/upstream_book.cpp
@@ -133,12 +133,17 @@
 
 double UpstreamBook::load(const Upstream &upstream, base::TimePoint now) const
 {
-    if (upstream.loadAt == base::TimePoint() || now - upstream.loadAt > m_options.loadFigureLifetime) {
+    if (!loadKnown(upstream, now)) {
         return upstream.outstanding;
     }
     return upstream.othersLoad + upstream.outstanding;
 }
 
+bool UpstreamBook::loadKnown(const Upstream &upstream, base::TimePoint now) const
+{
+    return upstream.loadAt != base::TimePoint() && now - upstream.loadAt <= m_options.loadFigureLifetime;
+}
+
 void UpstreamBook::sent(Upstream &upstream, base::TimePoint now)
 {
     ++upstream.outstanding;
@@ -152,8 +157,7 @@
     // The response that states the figure has not been taken off `outstanding` yet, and the figure does not count it.
     const double own = upstream.outstanding > 0 ? upstream.outstanding - 1 : 0;
     const double others = std::max(0.0, figure.running + figure.waiting - own);
-    const bool known = upstream.loadAt != base::TimePoint() && now - upstream.loadAt <= m_options.loadFigureLifetime;
-    const double kept = known ? std::exp(-base::toSeconds(now - upstream.loadAt) / base::toSeconds(m_options.loadMemory)) : 0;
+    const double kept = loadKnown(upstream, now) ? std::exp(-base::toSeconds(now - upstream.loadAt) / base::toSeconds(m_options.loadMemory)) : 0;
     upstream.othersLoad = kept * upstream.othersLoad + (1 - kept) * others;
     upstream.load = figure;
     upstream.loadAt = now;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -294,8 +294,7 @@
         m_outcome = "no_room";
         // Spread, so that callers of one burst do not return together.
         constexpr double spread = 0.5;
-        const base::Duration wait = std::max<base::Duration>(placed.retryAfter, std::chrono::milliseconds(50));
-        return ownResponse(503, base::jittered(wait, spread, m_core.random));
+        return ownResponse(503, base::jittered(placed.retryAfter, spread, m_core.random));
     }
     return giveUp(placed.outcome == ingress::PlacementOutcome::NoRoom ? "no_room" : "no_upstream");
 }
