--- a/include/trefoilstile/proxy/entry_servers.hpp
+++ b/include/trefoilstile/proxy/entry_servers.hpp
@@ -27,6 +27,12 @@
     /// Accepts no more connections.
     void stop();
 
+    /// `IP:port` that callers connect to.
+    const std::string &address() const
+    {
+        return m_listener->address();
+    }
+
 private:
     void accepted(boost::asio::ip::tcp::socket socket);
 
