--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -63,6 +63,9 @@
 struct BookOptions {
     /// After the source returns, lapsed entries are back within 2 s; the rest allows for delivery.
     base::Duration lapseHold = std::chrono::milliseconds(2'200);
+    /// The same when no outage of the source was noticed: a question that waits for changes does not show a short one. Below
+    /// the 2 s after which a removed upstream must get nothing.
+    base::Duration unnoticedLapseHold = std::chrono::milliseconds(1'600);
     /// Part of all entries that must be missing for them to count as lapsed: an outage of the source silences all upstreams,
     /// while an instance that was cut off alone misses only those that have left since.
     double lapsedShare = 0.34;
@@ -132,8 +135,8 @@
     /// Takes a report. True if it changed what is believed.
     bool report(const UpstreamReport &report, base::TimePoint now);
 
-    /// The entry is gone. Believed at once if its source is sound; around an absence of the source, when it is known not to
-    /// have lapsed with many others, or `lapseHold` after the source's return.
+    /// The entry is gone. Believed by the next `advance`, unless it seems to have lapsed with many others in an outage of the
+    /// source; then after the hold.
     void remove(std::string_view id, base::TimePoint now);
 
     /// The source answers, or does not. While it does not, removals wait.
--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -28,7 +28,7 @@
 struct TableWatchOptions {
     /// How long the store holds a question for changes. Long, because each question is priced; a silent path is noticed by
     /// the keep-alive of the connection.
-    base::Duration wait = std::chrono::seconds(20);
+    base::Duration wait = std::chrono::seconds(10);
     /// Pause after changes, so that changes that come together are fetched together; doubles up to the longest while they
     /// keep coming. The longest is far below the 2 s in which a change must be in effect.
     base::Duration gather = std::chrono::milliseconds(150);
--- a/src/ingress/upstream_book.cpp
+++ b/src/ingress/upstream_book.cpp
@@ -56,13 +56,13 @@
         return;
     }
     Upstream &upstream = *found->second;
-    // The entry of a live upstream lapses while the source is away, and returns soon after the source does.
-    const bool mayHaveLapsed = !m_available || now < m_availableSince + m_options.lapseHold;
-    if (mayHaveLapsed && !upstream.report.draining) {
-        upstream.removeAt = std::max(now, m_availableSince) + m_options.lapseHold;
+    if (upstream.report.draining) {
+        drop(std::string(id));
         return;
     }
-    drop(std::string(id));
+    // The entry of a live upstream lapses while the source is away, and returns soon after the source does.
+    const bool outageNoticed = !m_available || now < m_availableSince + m_options.lapseHold;
+    upstream.removeAt = outageNoticed ? std::max(now, m_availableSince) + m_options.lapseHold : now + m_options.unnoticedLapseHold;
 }
 
 void UpstreamBook::sourceAvailable(bool available, base::TimePoint now)
