Start a second attempt beside a silent one for idempotent requests

A second attempt starts after three times the expected time and at least the latency objective, within the part of the retry limit, and only at an upstream with a free slot.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -87,6 +87,7 @@
     PlacementReason reason = PlacementReason::None;
     UpstreamBook::Pointer upstream; ///< if chosen
     double load{}; ///< believed load of the chosen upstream
+    base::Duration wait{}; ///< expected for a slot there
     base::Duration retryAfter{}; ///< if there is no room: when some is expected
     std::string plannedRegion; ///< by the split of regions
     std::size_t candidates{}; ///< usable upstreams in the planned region, or in all if it has none
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -69,6 +69,8 @@
     std::optional<CallerResponse> startAttempt(bool first);
     std::optional<CallerResponse> giveUp(std::string_view why);
     bool mayRetry(base::TimePoint now);
+    void hedge();
+    ingress::PlacementResult place(base::TimePoint now);
     void launch(const ingress::PlacementResult &placed, base::TimePoint now);
     boost::asio::awaitable<void> attempt(std::shared_ptr<Attempt> attempt);
     boost::asio::awaitable<AttemptEnd> exchangeWith(std::shared_ptr<Attempt> attempt);
@@ -83,6 +85,7 @@
     http::Request m_request;
     base::TimePoint m_arrivedAt;
     base::TimePoint m_deadline; ///< a response is due by then
+    base::TimePoint m_hedgeAt = base::TimePoint::max(); ///< a second attempt is then started beside the first
     std::string m_id;
     std::string m_service;
     std::uint64_t m_key{};
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -212,6 +212,7 @@
         result.reason = reason;
         result.upstream = *candidate.upstream;
         result.load = candidate.load;
+        result.wait = candidate.wait;
         return true;
     };
     const auto spillFrom = std::chrono::duration_cast<base::Duration>(m_options.spillWait * request.route.latencyObjective);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -41,6 +41,10 @@
 /// The response goes out this long before the caller's time is up, so that it still reaches the caller.
 constexpr base::Duration s_responseMargin = std::chrono::milliseconds(20);
 
+/// A second attempt of an idempotent request starts beside the first when that has taken this many times as long as expected,
+/// and longer than the latency objective. Upstreams that fall silent are noticed by nothing else.
+constexpr int s_hedgeFactor = 3;
+
 /// Longest waiting time taken from a caller; longer ones are not trusted.
 constexpr std::uint64_t s_mostWaitMilliseconds = 3'600'000;
 
@@ -208,8 +212,13 @@
                 response = giveUp("deadline");
                 break;
             }
+            const base::Duration untilHedge = m_hedgeAt - http::now();
+            if (untilHedge <= base::Duration::zero()) {
+                hedge();
+                continue;
+            }
             http::ErrorCode ignored; // cancelled by the end of an attempt
-            m_wakeUp.expires_after(left);
+            m_wakeUp.expires_after(std::min(left, untilHedge));
             co_await m_wakeUp.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
             continue;
         }
@@ -265,26 +274,44 @@
     if (m_mayHaveRun && !m_route->route.idempotent) {
         return false;
     }
-    if (m_sends >= m_route->route.maximumAttempts || m_attempts.size() >= s_mostAttempts || m_deadline - now < s_leastUseful) {
+    const std::size_t sends = m_sends + running();
+    if (sends >= m_route->route.maximumAttempts || m_attempts.size() >= s_mostAttempts || m_deadline - now < s_leastUseful) {
         return false;
     }
     // Nothing has arrived at an upstream yet, so this is no retry for the upstreams.
-    return m_sends == 0 || m_core.takeRetry(m_service, now);
+    return sends == 0 || m_core.takeRetry(m_service, now);
 }
 
-std::optional<CallerResponse> Exchange::startAttempt(bool first)
+void Exchange::hedge()
 {
+    m_hedgeAt = base::TimePoint::max();
     const base::TimePoint now = http::now();
-    if (!first && !mayRetry(now)) {
-        return giveUp("no_retry");
+    const ingress::PlacementResult placed = place(now);
+    // An upstream that is busy too would not answer sooner.
+    const bool free = placed.outcome == ingress::PlacementOutcome::Chosen && placed.load + 1 <= placed.upstream->report.slots;
+    if (free && mayRetry(now)) {
+        launch(placed, now);
     }
+}
+
+ingress::PlacementResult Exchange::place(base::TimePoint now)
+{
     std::vector<const ingress::Upstream *> tried;
     for (const auto &attempt : m_attempts) {
         tried.push_back(attempt->upstream.get());
     }
     const ingress::Route &route = m_route->route;
     const ingress::PlacementRequest request{route, m_service, m_key, tried, m_deadline - now, m_arrivedAt + route.latencyObjective - now};
-    m_placed = m_core.placement.choose(request, m_core.configuration, now);
+    return m_core.placement.choose(request, m_core.configuration, now);
+}
+
+std::optional<CallerResponse> Exchange::startAttempt(bool first)
+{
+    const base::TimePoint now = http::now();
+    if (!first && !mayRetry(now)) {
+        return giveUp("no_retry");
+    }
+    m_placed = place(now);
     const ingress::PlacementResult &placed = m_placed;
     if (placed.outcome == ingress::PlacementOutcome::Chosen) {
         launch(placed, now);
@@ -340,6 +367,10 @@
     attempt->loadAge = placed.upstream->loadAt == base::TimePoint() ? base::Duration(-1) : now - placed.upstream->loadAt;
     attempt->startedAt = now;
     m_attempts.push_back(attempt);
+    if (m_attempts.size() == 1 && m_route->route.idempotent) {
+        const auto expected = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(placed.upstream->serviceSeconds)) + placed.wait;
+        m_hedgeAt = now + std::max(m_route->route.latencyObjective, s_hedgeFactor * expected);
+    }
     m_core.book.sent(*attempt->upstream, now);
     boost::asio::co_spawn(
         m_core.context,
--- a/src/proxy/session_test.cpp
+++ b/src/proxy/session_test.cpp
@@ -339,6 +339,23 @@
     BOOST_TEST(world.core.book.ofService("ledger").front()->outstanding == 0U);
 }
 
+// Guards against an idempotent request that waits for an upstream that has fallen silent until its time is up (incident
+// inc-8930 of thanthri: downloads at crashed upstreams).
+BOOST_AUTO_TEST_CASE(silentUpstreamIsHedgedForIdempotentRequests)
+{
+    int count = 0;
+    World world(
+        [&count](const std::string &received) {
+            return ++count == 1 ? Reaction{"", false, 5s} : Reaction{genuine(idOf(received), "hello")};
+        },
+        2);
+    const base::TimePoint start = http::now();
+    BOOST_TEST(startsWith(world.send(request("/reads/1", "r1"), "hello"), "HTTP/1.1 200"));
+    BOOST_TEST((http::now() - start >= 300ms));
+    BOOST_TEST((http::now() - start < 800ms));
+    BOOST_TEST(world.requestsAtUpstreams() == 2);
+}
+
 // Guards against a request held past the time of its route by a silent upstream.
 BOOST_AUTO_TEST_CASE(silentUpstreamEndsAtTheTimeLimit)
 {
