Do not pass on a request that crosses a closing response

Such a request counts as not read and is left alone now. The test requestBehindAClosingResponseIsNotPassedOn failed before (2 requests at the upstream). Each instance keeps its connections to an upstream within its part of what the upstream accepts; fields that nothing used are removed.

--- a/include/trefoilstile/ingress/configuration.hpp
+++ b/include/trefoilstile/ingress/configuration.hpp
@@ -24,7 +24,6 @@
     std::string host; ///< lower case, without port
     std::string prefix; ///< begins and ends with a slash
     bool idempotent = false; ///< may run more than once
-    bool largeResponses = false; ///< downloads: transfer between failure domains weighs more than waiting
     base::Duration timeout{}; ///< a response is due after this time at the latest
     base::Duration latencyObjective{}; ///< responses after this time are worth little
     std::uint32_t priority{}; ///< 0 is the most urgent
@@ -35,7 +34,6 @@
 
 struct Service {
     std::string name;
-    std::string healthPath;
     std::uint32_t maximumConnections{}; ///< of one upstream, from all instances together
     base::Duration warmUp{}; ///< how long an upstream stays cold after its start
     double warmUpRequestsPerSecond{}; ///< what a cold upstream bears from all instances together
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -79,7 +79,6 @@
     std::uint64_t key{}; ///< hash of the affinity key, or random without one
     std::span<const Upstream *const> excluded; ///< tried before
     base::Duration timeLeft{}; ///< until the caller or the route gives up
-    base::Duration objectiveLeft{}; ///< until the latency objective; may be negative
 };
 
 struct PlacementResult {
--- a/include/trefoilstile/proxy/caller_session.hpp
+++ b/include/trefoilstile/proxy/caller_session.hpp
@@ -28,7 +28,7 @@
     /// Serves the connection until it ends.
     void start();
 
-    /// The instance is stopping: responses from now on end the connection, and an idle one is closed.
+    /// The instance is stopping: an idle connection is closed. Responses end the others.
     void windDown();
 
 private:
@@ -51,7 +51,6 @@
     std::deque<std::shared_ptr<Pending>> m_pending; ///< oldest first
     boost::asio::steady_timer m_responseReady;
     boost::asio::steady_timer m_roomForRequest;
-    bool m_windingDown = false;
     bool m_gone = false;
     bool m_reading = true; ///< more requests may be read
 };
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -38,6 +38,9 @@
     /// Takes one retry to the service out of this instance's part.
     bool takeRetry(std::string_view service, base::TimePoint now);
 
+    /// Connections of this instance to one upstream of a service: its part of what the upstream accepts from all.
+    std::size_t connectionLimit(std::string_view service) const;
+
     /// Work to be done a few times a second.
     void advance(base::TimePoint now);
 
--- a/src/ingress/placement_test.cpp
+++ b/src/ingress/placement_test.cpp
@@ -58,7 +58,7 @@
 
     PlacementResult choose(std::uint64_t key, std::vector<const Upstream *> excluded = {})
     {
-        return placement.choose({route, s_service, key, excluded, 2s, 300ms}, configuration, s_start);
+        return placement.choose({route, s_service, key, excluded, 2s}, configuration, s_start);
     }
 
     PlacementResult chooseAndSend(std::uint64_t key)
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -61,11 +61,9 @@
 
 void CallerSession::windDown()
 {
-    m_windingDown = true;
     if (m_pending.empty() && m_connection->quiet()) {
-        m_reading = false;
-        m_connection->close();
-        m_responseReady.cancel();
+        // Ends the wait for a request, unless input has been taken from the socket already: that request is served.
+        m_connection->cancelRead();
     }
 }
 
@@ -101,10 +99,16 @@
         http::Request request;
         http::BodyShare share(m_bodyBudget);
         const http::ReadOutcome outcome = co_await http::readRequest(m_connection, requestLimits, request, share);
-        if (outcome.closed || m_gone) {
+        if (m_gone) {
+            break;
+        }
+        if (outcome.closed) {
             callerGone();
             break;
         }
+        if (!m_reading) {
+            break; // came behind a response that closes the connection: counts as not read, and is not passed on
+        }
         const auto pending = std::make_shared<Pending>();
         pending->bodyShare = std::move(share);
         pending->closeAfter = !request.keepAlive || outcome.rejectStatus != 0;
@@ -126,6 +130,14 @@
             },
             boost::asio::detached);
     }
+    while (!m_gone && m_connection->socket.is_open()) {
+        // No more requests are taken; input is read only to notice that the caller goes away.
+        m_connection->input.consume(m_connection->input.size());
+        const http::ErrorCode error = co_await m_connection->readSome();
+        if (error && !m_gone) {
+            callerGone();
+        }
+    }
 }
 
 boost::asio::awaitable<void> CallerSession::serve(std::shared_ptr<Pending> pending)
@@ -152,7 +164,7 @@
         CallerResponse &response = *pending->response;
         // Requests behind a response that closes the connection count as not read, so only the last one may close it.
         const bool last = m_pending.size() == 1 && m_connection->input.size() == 0;
-        const bool close = pending->closeAfter || (m_windingDown && last);
+        const bool close = pending->closeAfter || (m_core.stop.begun() && last);
         if (close) {
             m_reading = false;
         }
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -2,6 +2,7 @@
 
 #include "trefoilstile/proxy/entry_core.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "trefoilstile/base/ids.hpp"
@@ -60,6 +61,17 @@
     return retryShare(service).tryTake(members.value(), now);
 }
 
+std::size_t EntryCore::connectionLimit(std::string_view service) const
+{
+    // An instance that shares with very many others still needs one connection in use and one that is being made.
+    constexpr std::size_t least = 2;
+    const auto description = configuration.services.find(service);
+    if (description == configuration.services.end()) {
+        return least;
+    }
+    return std::max<std::size_t>(least, description->second.maximumConnections / std::max<std::size_t>(1, members.value()));
+}
+
 void EntryCore::advance(base::TimePoint now)
 {
     book.advance(now);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -301,8 +301,7 @@
     for (const auto &attempt : m_attempts) {
         tried.push_back(attempt->upstream.get());
     }
-    const ingress::Route &route = m_route->route;
-    const ingress::PlacementRequest request{route, m_service, m_key, tried, m_deadline - now, m_arrivedAt + route.latencyObjective - now};
+    const ingress::PlacementRequest request{m_route->route, m_service, m_key, tried, m_deadline - now};
     return m_core.placement.choose(request, m_core.configuration, now);
 }
 
@@ -404,7 +403,14 @@
     const ingress::UpstreamReport &upstream = attempt->upstream->report;
     attempt->connection = m_core.connections.take(upstream.id, !m_route->route.idempotent, http::now());
     if (!attempt->connection) {
+        if (attempt->upstream->openConnections >= m_core.connectionLimit(m_service)) {
+            co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
+        }
         attempt->connection = std::make_shared<http::Connection>(m_core.context);
+        ++attempt->upstream->openConnections;
+        attempt->connection->countToken = std::shared_ptr<void>(nullptr, [upstream = attempt->upstream](void *) {
+            --upstream->openConnections;
+        });
         attempt->connection->readDeadline.set(std::min<base::Duration>(s_connectTimeout, m_deadline - http::now()));
         const auto endpoint = http::parseEndpoint(upstream.address);
         const http::ErrorCode error = co_await attempt->connection->connect(endpoint);
--- a/src/proxy/session_test.cpp
+++ b/src/proxy/session_test.cpp
@@ -161,6 +161,7 @@
         configuration.version = 1;
         ingress::Service service;
         service.name = "ledger";
+        service.maximumConnections = 20;
         configuration.services.emplace(service.name, service);
         for (const bool idempotent : {true, false}) {
             ingress::Route route;
@@ -356,6 +357,22 @@
     BOOST_TEST(world.requestsAtUpstreams() == 2);
 }
 
+// Guards against more connections than the part of this instance, which the upstream would reset with requests on them.
+BOOST_AUTO_TEST_CASE(connectionsStayWithinThePartOfTheInstance)
+{
+    World world([](const std::string &received) {
+        return Reaction{genuine(idOf(received), "body-" + idOf(received)), false, 100ms};
+    });
+    world.core.members.observe(10, http::now());
+    BOOST_TEST(world.core.connectionLimit("ledger") == 2U);
+    std::string requests;
+    for (int i = 0; i < 8; ++i) {
+        requests += request("/reads/1", "r" + std::to_string(i));
+    }
+    world.send(requests, "never");
+    BOOST_TEST(world.requestsAtUpstreams() == 2);
+}
+
 // Guards against a request held past the time of its route by a silent upstream.
 BOOST_AUTO_TEST_CASE(silentUpstreamEndsAtTheTimeLimit)
 {
@@ -415,6 +432,54 @@
     }
 }
 
+// Guards against a request being passed on although it crossed a response that closes the connection, and then being cut
+// off (deploy/days/instances.toml on thanthri, seed 289927723926).
+BOOST_AUTO_TEST_CASE(requestBehindAClosingResponseIsNotPassedOn)
+{
+    // Larger than what a connection with a small window takes, so that the response is still being written.
+    const std::string large(8'000'000, 'x');
+    World world([&large](const std::string &received) {
+        return Reaction{genuine(idOf(received), large)};
+    });
+    world.core.stop.begin(http::now(), 6s);
+    std::string response;
+    boost::asio::co_spawn(
+        world.context,
+        [&]() -> boost::asio::awaitable<void> {
+            tcp::socket socket(world.context, tcp::v4());
+            socket.set_option(boost::asio::socket_base::receive_buffer_size(65'536));
+            co_await socket.async_connect(http::parseEndpoint(world.listener->address()), boost::asio::use_awaitable);
+            for (const char *id : {"r1", "r2"}) {
+                const std::string bytes = request("/reads/1", id);
+                co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), boost::asio::use_awaitable);
+                boost::asio::steady_timer timer(world.context, 500ms);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
+            response = co_await readUntil(socket, "");
+            world.context.stop();
+        },
+        boost::asio::detached);
+    world.context.run_for(10s);
+    BOOST_TEST(startsWith(response, "HTTP/1.1 200"));
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+    BOOST_TEST(world.requestsAtUpstreams() == 1);
+}
+
+// Guards against large responses that are cut or held up.
+BOOST_AUTO_TEST_CASE(largeResponseIsPassedOn)
+{
+    for (const std::size_t size : {100'000U, 1'000'000U, 8'000'000U}) {
+        const std::string large(size, 'x');
+        World world([&large](const std::string &received) {
+            return Reaction{genuine(idOf(received), large + "END")};
+        });
+        const base::TimePoint start = http::now();
+        const std::string response = world.send(request("/reads/1", "r1"), "END");
+        BOOST_TEST_MESSAGE(size << " bytes took " << base::toMilliseconds(http::now() - start) << " ms");
+        BOOST_TEST(response.size() > size);
+    }
+}
+
 // Guards against an idle connection that keeps a stopping process alive.
 BOOST_AUTO_TEST_CASE(idleConnectionIsClosedAtTheStop)
 {
