--- a/include/trefoilstile/proxy/entry_servers.hpp
+++ b/include/trefoilstile/proxy/entry_servers.hpp
@@ -24,9 +24,6 @@
     /// Responses end their connections from now on, and idle connections are closed.
     void windDown();
 
-    /// Accepts no more connections.
-    void stop();
-
     /// `IP:port` that callers connect to.
     const std::string &address() const
     {
--- a/include/trefoilstile/proxy/member_link.hpp
+++ b/include/trefoilstile/proxy/member_link.hpp
@@ -31,7 +31,6 @@
 
     void tick(base::TimePoint now);
     void announceLeaving(base::TimePoint now);
-    void addSeed(const std::string &peerAddress);
 
     const membership::MemberTable &members() const
     {
--- a/src/proxy/entry_servers.cpp
+++ b/src/proxy/entry_servers.cpp
@@ -57,9 +57,4 @@
     }
 }
 
-void CallerListener::stop()
-{
-    m_listener->stop();
-}
-
 } // namespace trefoilstile::proxy
--- a/src/proxy/member_link.cpp
+++ b/src/proxy/member_link.cpp
@@ -70,11 +70,6 @@
     m_detector.announceLeaving(now, *this);
 }
 
-void MemberLink::addSeed(const std::string &peerAddress)
-{
-    m_detector.addSeed(peerAddress);
-}
-
 std::size_t MemberLink::memberCount(base::TimePoint now) const
 {
     const auto &entries = m_detector.table().entries();
