Name instances in lookups by what they can carry; gather changes by the bound

Cause: callers spread evenly over the addresses of an answer.

Change: each instance reports what it can take beyond what it has (limits of its machine from the settings), and answers name instances in proportion to it.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -43,6 +43,7 @@
     double coldFill = 0.75;
     /// Requests spilled to other regions for want of room, as a part of all: below the shift that operators allow.
     double spillShare = 0.05;
+    RegionSplitOptions split;
     /// Time of an attempt at an upstream of which nothing is known.
     base::Duration assumedServiceTime = std::chrono::milliseconds(100);
     /// Load per slot of the own region from which callers are sent elsewhere, if it is also above that of another region by
@@ -58,6 +59,16 @@
     double deadlineShare = 0.9;
 };
 
+/// Options for a limit on the part of a region's requests that changes region within 2 s. A third of it is for spilled
+/// requests and a quarter for the split; the rest covers chance, as the limit holds for small numbers of requests too.
+inline PlacementOptions placementOptions(double shiftLimit)
+{
+    PlacementOptions options;
+    options.spillShare = shiftLimit / 3;
+    options.split.shiftPerSecond = shiftLimit / 4 / 2;
+    return options;
+}
+
 enum class PlacementOutcome : std::uint8_t {
     Chosen,
     NoUpstream, ///< no usable upstream is known
--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -4,6 +4,7 @@
 // the source has been in reach. Load is the upstream's own figure, corrected by what this instance has sent since.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -89,6 +90,15 @@
     base::Duration loadMemory = std::chrono::milliseconds(600);
 };
 
+/// Options for a bound on the time after which an upstream that is reported as leaving or gone gets no request.
+inline BookOptions bookOptions(base::Duration leavingBound)
+{
+    BookOptions options;
+    // A fifth of the bound is left for the report to arrive.
+    options.unnoticedLapseHold = std::min(options.unnoticedLapseHold, leavingBound * 4 / 5);
+    return options;
+}
+
 /// State of one upstream. Owned by the book; requests in flight share it.
 struct Upstream {
     UpstreamReport report;
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -10,6 +10,7 @@
 
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/ingress/configuration.hpp"
+#include "trefoilstile/ingress/instance_capacity.hpp"
 #include "trefoilstile/ingress/joint_limits.hpp"
 #include "trefoilstile/ingress/placement.hpp"
 #include "trefoilstile/ingress/planned_stop.hpp"
@@ -61,6 +62,7 @@
     bool upstreamsKnown = false; ///< the list of upstreams has been read once
     std::size_t sessions{}; ///< open connections of callers
     std::size_t requests{}; ///< being served
+    ingress::RequestRate requestRate;
 
 private:
     void splitRegions(base::TimePoint now);
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -70,7 +70,7 @@
         , m_operatorObserver{*this}
         , m_upstreamObserver{*this}
         , m_operatorWatch(context, m_store, m_operatorObserver, Platform::operatorTable(), m_core.random.next())
-        , m_upstreamWatch(context, m_store, m_upstreamObserver, Platform::upstreamTable(), m_core.random.next())
+        , m_upstreamWatch(context, m_store, m_upstreamObserver, Platform::upstreamTable(), m_core.random.next(), watchOptions(m_core.settings.leavingBound))
         , m_incarnation{m_core.random.next()}
         , m_timer(context)
         , m_joinTimer(context)
@@ -210,7 +210,7 @@
         const EntryLookup question = Platform::decodeLookup(query);
         std::vector<std::string> addresses;
         if (m_members) {
-            addresses = ingress::entryAddresses(m_members->members(), question.region, question.failureDomain);
+            addresses = ingress::drawEntries(ingress::entryCandidates(m_members->members(), question.region, question.failureDomain), m_core.random);
         } else if (ready()) {
             addresses.push_back(m_core.settings.callerAddress); // the other instances are not known yet
         }
@@ -356,6 +356,7 @@
         const base::TimePoint now = http::now();
         m_core.advance(now);
         if (m_members) {
+            m_members->reportSpareCapacity(ingress::spareCapacity(ingress::carryingCapacity(m_core.settings.resources), m_core.requestRate.perSecond()));
             m_members->tick(now);
             observeMembers(now);
             if (now >= m_nextLoadReport) {
--- a/include/trefoilstile/proxy/member_link.hpp
+++ b/include/trefoilstile/proxy/member_link.hpp
@@ -32,6 +32,12 @@
     void tick(base::TimePoint now);
     void announceLeaving(base::TimePoint now);
 
+    /// Tells the members what this instance can take beyond what it has, in requests/s.
+    void reportSpareCapacity(std::uint32_t requestsPerSecond)
+    {
+        m_detector.setSpareCapacity(requestsPerSecond);
+    }
+
     const membership::MemberTable &members() const
     {
         return m_detector.table();
--- a/include/trefoilstile/proxy/settings.hpp
+++ b/include/trefoilstile/proxy/settings.hpp
@@ -8,6 +8,7 @@
 
 #include "trefoilstile/base/error.hpp"
 #include "trefoilstile/base/time.hpp"
+#include "trefoilstile/ingress/instance_capacity.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -25,11 +26,14 @@
     std::string storeAddress;
     double memoryMegabytes = 256; ///< limit of the process
     std::size_t maximumDescriptors = 4'096; ///< limit of the process
+    ingress::InstanceResources resources; ///< limits of the machine
     base::Duration stopGrace{}; ///< between SIGTERM and the kill
     base::Duration lookupLifetime{}; ///< for which callers keep an answer
     double retryRatio = 0.2; ///< retries per request, over all instances
     base::Duration retryWindow{};
     double retrySlack = 0; ///< retries per window beyond the ratio, over all instances
+    base::Duration leavingBound = std::chrono::seconds(2); ///< after which an upstream that is reported as leaving or gone gets no request
+    double shiftLimit = 0.15; ///< part of the requests of a region that may change region within 2 s
     std::string settingsFile; ///< where the settings were read; empty: none
 };
 
--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -4,6 +4,7 @@
 // missing then count as removed.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -26,11 +27,12 @@
 {
 
 struct TableWatchOptions {
-    /// How long the store holds a question for changes. Long, because each question is priced; a silent path is noticed by
-    /// the keep-alive of the connection.
-    base::Duration wait = std::chrono::seconds(10);
+    /// How long the store holds a question for changes. Long, because each question is priced, and below the 20 s of history
+    /// that the store keeps, so that after a lost answer the changes are still to be had. A silent path is noticed by the
+    /// keep-alive of the connection.
+    base::Duration wait = std::chrono::seconds(18);
     /// Pause after changes, so that changes that come together are fetched together; doubles up to the longest while they
-    /// keep coming. The longest is far below the 2 s in which a change must be in effect.
+    /// keep coming.
     base::Duration gather = std::chrono::milliseconds(150);
     base::Duration longestGather = std::chrono::milliseconds(700);
     base::Duration firstBackoff = std::chrono::milliseconds(250);
@@ -40,6 +42,15 @@
     double backoffJitter = 0.3; ///< keeps instances out of step
 };
 
+/// Options for a bound on the time until a change must be in effect. About a third of it is used up by gathering; the rest
+/// is for a slow store.
+inline TableWatchOptions watchOptions(base::Duration bound)
+{
+    TableWatchOptions options;
+    options.longestGather = std::max(options.gather, bound * 35 / 100);
+    return options;
+}
+
 /// What the watch tells its owner.
 // clang-format off
 template<typename T>
--- a/src/ingress/entry_list.cpp
+++ b/src/ingress/entry_list.cpp
@@ -2,35 +2,56 @@
 
 #include "trefoilstile/ingress/entry_list.hpp"
 
+#include <functional>
+
 namespace trefoilstile::ingress
 {
 
-std::vector<std::string> entryAddresses(
+std::vector<EntryCandidate> entryCandidates(
     const membership::MemberTable &members, std::string_view region, std::string_view failureDomain, EntryListOptions options)
 {
     const auto select = [&](auto &&matches) {
-        std::vector<std::string> addresses;
+        std::vector<EntryCandidate> candidates;
         for (const auto &[incarnation, member] : members.entries()) {
-            if (member.isAlive() && !member.isLeaving() && matches(member) && addresses.size() < options.most) {
-                addresses.push_back(member.info.callerAddress);
+            if (member.isAlive() && !member.isLeaving() && matches(member)) {
+                candidates.push_back({member.info.callerAddress, static_cast<double>(member.status.spareCapacity)});
             }
         }
-        return addresses;
+        return candidates;
     };
-    std::vector<std::string> addresses = select([&](const membership::MemberEntry &member) {
+    std::vector<EntryCandidate> candidates = select([&](const membership::MemberEntry &member) {
         return member.info.failureDomain == failureDomain;
     });
-    if (addresses.size() < options.enough) {
-        addresses = select([&](const membership::MemberEntry &member) {
+    if (candidates.size() < options.enough) {
+        candidates = select([&](const membership::MemberEntry &member) {
             return member.info.region == region;
         });
     }
-    if (addresses.empty()) {
-        addresses = select([](const membership::MemberEntry &) {
+    if (candidates.empty()) {
+        candidates = select([](const membership::MemberEntry &) {
             return true;
         });
     }
-    return addresses;
+    // What nobody has told of is taken for as good as the best.
+    std::stable_sort(candidates.begin(), candidates.end(), [](const EntryCandidate &left, const EntryCandidate &right) {
+        return right.spare > 0 && (left.spare <= 0 || left.spare > right.spare);
+    });
+    return candidates;
+}
+
+std::vector<double> namingChances(const std::vector<EntryCandidate> &candidates, EntryListOptions options)
+{
+    double most = 0;
+    for (const EntryCandidate &candidate : candidates) {
+        most = std::max(most, candidate.spare);
+    }
+    std::vector<double> chances;
+    chances.reserve(candidates.size());
+    for (const EntryCandidate &candidate : candidates) {
+        const bool full = candidate.spare <= 0 || candidate.spare >= options.fullPart * most;
+        chances.push_back(full ? 1.0 : candidate.spare / most);
+    }
+    return chances;
 }
 
 } // namespace trefoilstile::ingress
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -44,7 +44,8 @@
 {
     auto found = m_services.find(service);
     if (found == m_services.end()) {
-        found = m_services.emplace(std::string(service), ServiceState{RegionSplit(), 0, std::nullopt, SpillLimit(m_options.spillShare), {}}).first;
+        found =
+            m_services.emplace(std::string(service), ServiceState{RegionSplit(m_options.split), 0, std::nullopt, SpillLimit(m_options.spillShare), {}}).first;
     }
     return found->second;
 }
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -15,7 +15,8 @@
     , settings(std::move(processSettings))
     , names(std::move(headerNames))
     , random(seed)
-    , placement(book, settings.region, settings.failureDomain, base::stableHash(settings.name))
+    , book(ingress::bookOptions(settings.leavingBound))
+    , placement(book, settings.region, settings.failureDomain, base::stableHash(settings.name), ingress::placementOptions(settings.shiftLimit))
 {
     book.setRegions(settings.regions);
     // Without other knowledge each failure domain has as many callers as another.
@@ -77,6 +78,7 @@
     book.advance(now);
     splitRegions(now);
     connections.sweep(now);
+    requestRate.advance(now);
     log.flush();
 }
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -197,6 +197,7 @@
 {
     const auto self = shared_from_this();
     ++m_core.requests;
+    m_core.requestRate.requestArrived();
     std::optional<CallerResponse> response = prepare();
     if (!response) {
         response = startAttempt(true);
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -94,6 +94,9 @@
     std::string stopGrace = "6s";
     std::string lookupLifetime = "2s";
     std::string retryWindow = "10s";
+    std::string leavingBound = "2s";
+    double processorShare = 1;
+    double processorSpeed = 1;
     CLI::App app("Entry process of the trefoilstile traffic steering system on a shared platform", "trefoilstile-entry");
     app.set_version_flag("--version", "trefoilstile-entry 0.1.0");
     const char *file = std::getenv(settingsVariable.c_str());
@@ -111,11 +114,16 @@
     add(app, "--store-address", settings.storeAddress, "STORE_ADDRESS", "IP:port of the platform's store", checkAddress)->required();
     app.add_option("--memory-megabytes", settings.memoryMegabytes, "Memory limit of the process")->check(CLI::Range(16.0, 1e6));
     app.add_option("--maximum-descriptors", settings.maximumDescriptors, "Descriptor limit of the process")->check(CLI::Range(256, 1'000'000));
+    app.add_option("--processor-share", processorShare, "Part of a processor that the process may use")->check(CLI::Range(0.001, 1.0));
+    app.add_option("--processor-speed", processorSpeed, "Speed of that processor, as a multiple of the usual one")->check(CLI::Range(0.01, 1'000.0));
+    app.add_option("--link-megabits", settings.resources.linkMegabits, "Bandwidth of the machine's link in Mbit/s")->check(CLI::Range(0.1, 1e6));
     add(app, "--stop-grace", stopGrace, "STOP_GRACE", "Time between the signal to stop and the kill", checkSpan);
     add(app, "--lookup-lifetime", lookupLifetime, "LOOKUP_LIFETIME", "Time for which callers keep an answer to a lookup", checkSpan);
     app.add_option("--retry-ratio", settings.retryRatio, "Retries per request, over all instances")->check(CLI::Range(0.0, 1.0));
     add(app, "--retry-window", retryWindow, "RETRY_WINDOW", "Span over which retries are limited", checkSpan);
     app.add_option("--retry-slack", settings.retrySlack, "Retries per span beyond the ratio, over all instances")->check(CLI::Range(0.0, 1e6));
+    add(app, "--leaving-bound", leavingBound, "LEAVING_BOUND", "Time after which a leaving upstream gets no more requests", checkSpan);
+    app.add_option("--shift-limit", settings.shiftLimit, "Part of a region's requests that may change region within 2 s")->check(CLI::Range(0.001, 1.0));
     std::vector<std::string> reversed(arguments.rbegin(), arguments.rend()); // CLI11 takes the last argument first
     try {
         app.parse(reversed);
@@ -134,6 +142,8 @@
     settings.stopGrace = parseSpan(stopGrace);
     settings.lookupLifetime = parseSpan(lookupLifetime);
     settings.retryWindow = parseSpan(retryWindow);
+    settings.leavingBound = parseSpan(leavingBound);
+    settings.resources.processors = processorShare * processorSpeed;
     if (settings.retryWindow < std::chrono::milliseconds(100)) {
         throw SettingsError(fmt::format("--retry-window: '{}' is not allowed: at least 100ms", retryWindow));
     }
