--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -76,6 +76,10 @@
     base::Duration failureMemory = std::chrono::seconds(3);
     /// Failure rate from which an upstream is avoided: three times the share of failures of a sound one is far below.
     double failureLimit = 0.35;
+    /// Where the whole service fails, an upstream is avoided only if it fails this many times as often as the mean: leaving out
+    /// the rest would put all load on the few that are tried.
+    double failureLimitOfMean = 1.5;
+    double highestFailureLimit = 0.9; ///< an upstream that fails nearly everything is avoided whatever the others do
     double failureEvidence = 2.5; ///< decayed number of attempts that the rate must rest on
     base::Duration probation = std::chrono::milliseconds(1'000); ///< between trial requests to an avoided upstream
     base::Duration unreachablePause = std::chrono::milliseconds(500); ///< after a refused connection; doubles up to the longest
@@ -120,6 +124,7 @@
 
     double attempts{}; ///< decayed
     double failures{}; ///< decayed; at most `attempts`
+    std::optional<double> failureLimit; ///< rate from which it is avoided, by the rate of its service; empty: not measured yet
     base::TimePoint decayedAt;
     base::TimePoint avoidUntil; ///< no request before, unless all others are avoided too
     base::Duration pause{}; ///< last pause after failing to connect; 0 after a success
@@ -158,7 +163,7 @@
     /// Failure domains whose upstreams get nothing.
     void setEvacuated(std::set<std::string, std::less<>> domains, base::TimePoint now);
 
-    /// Removes what has lapsed.
+    /// Removes what has lapsed, and sets the limits of failure by how often each service fails. To be called a few times a second.
     void advance(base::TimePoint now);
 
     /// All upstreams of a service, unusable ones included; stable until the next change.
@@ -210,6 +215,8 @@
     void noteAddress(const Pointer &upstream);
     void averageLoad(Upstream &upstream, double others, base::TimePoint statedAt, base::TimePoint now) const;
     void decay(Upstream &upstream, base::TimePoint now) const;
+    void removeLapsed(base::TimePoint now);
+    void setFailureLimits(base::TimePoint now);
 
     BookOptions m_options;
     std::map<std::string, std::string, std::less<>> m_regions;
--- a/src/ingress/upstream_book.cpp
+++ b/src/ingress/upstream_book.cpp
@@ -119,9 +119,32 @@
 
 void UpstreamBook::advance(base::TimePoint now)
 {
-    if (!m_available) {
-        return;
+    if (m_available) {
+        removeLapsed(now);
+    }
+    setFailureLimits(now);
+}
+
+void UpstreamBook::setFailureLimits(base::TimePoint now)
+{
+    for (const auto &[service, upstreams] : m_services) {
+        double attempts = 0;
+        double failures = 0;
+        for (const Pointer &upstream : upstreams) {
+            const double kept = std::exp(-base::toSeconds(now - upstream->decayedAt) / base::toSeconds(m_options.failureMemory));
+            attempts += kept * upstream->attempts;
+            failures += kept * upstream->failures;
+        }
+        const double mean = attempts > 0 ? failures / attempts : 0.0;
+        const double limit = std::clamp(m_options.failureLimitOfMean * mean, m_options.failureLimit, m_options.highestFailureLimit);
+        for (const Pointer &upstream : upstreams) {
+            upstream->failureLimit = limit;
+        }
     }
+}
+
+void UpstreamBook::removeLapsed(base::TimePoint now)
+{
     std::vector<std::string> missing;
     std::vector<std::string> due;
     for (const auto &[id, upstream] : m_upstreams) {
@@ -151,7 +174,8 @@
         return true;
     }
     const double decayed = std::exp(-base::toSeconds(now - upstream.decayedAt) / base::toSeconds(m_options.failureMemory));
-    return upstream.attempts * decayed >= m_options.failureEvidence && upstream.failures > m_options.failureLimit * upstream.attempts;
+    const double limit = upstream.failureLimit.value_or(m_options.failureLimit);
+    return upstream.attempts * decayed >= m_options.failureEvidence && upstream.failures > limit * upstream.attempts;
 }
 
 bool UpstreamBook::trialDue(const Upstream &upstream, base::TimePoint now) const
--- a/src/ingress/upstream_book_test.cpp
+++ b/src/ingress/upstream_book_test.cpp
@@ -213,6 +213,32 @@
     BOOST_TEST(!book.avoided(upstream, s_start + 30s));
 }
 
+// Guards against all load on the few upstreams that happen to be tried while a whole service fails part of its requests, and
+// against an upstream that is not left out although it fails far more than the others.
+BOOST_AUTO_TEST_CASE(failuresCountByComparisonWithTheService)
+{
+    UpstreamBook book = soundBook();
+    const std::vector<std::string> ids{"a", "b", "c", "d", "e", "f"};
+    for (const std::string &id : ids) {
+        book.report(report(id), s_start);
+    }
+    const auto play = [&](auto fails) {
+        for (int attempt = 0; attempt < 20; ++attempt) {
+            for (const UpstreamBook::Pointer &upstream : book.ofService("ledger")) {
+                book.sent(*upstream, s_start);
+                book.ended(*upstream, fails(*upstream, attempt) ? AttemptVerdict::Shed : AttemptVerdict::Served, 10ms, 0, s_start);
+            }
+        }
+        book.advance(s_start);
+    };
+    play([](const Upstream &upstream, int attempt) {
+        return upstream.report.id == "f" || attempt % 2 == 0;
+    });
+    for (const UpstreamBook::Pointer &upstream : book.ofService("ledger")) {
+        BOOST_TEST(book.avoided(*upstream, s_start) == (upstream->report.id == "f"), upstream->report.id);
+    }
+}
+
 // Guards against counting own requests twice: once as stated by the upstream and once as outstanding.
 BOOST_AUTO_TEST_CASE(loadCountsOwnRequestsOnce)
 {
