Consider the first upstreams of a key only, and pace the passes over all upstreams

Cause: a placement looked at every upstream of the service, with several look-ups of text for each: 37 us at 411 upstreams, 376 us at 3,000 and 4.2 ms at 19,000, the number at the size of two years. The passes for splits and limits ran ten times a second at any size.

Change: usable upstreams are kept by region until the list changes, and the first 32 by the ranking of the key are considered, all of them only if fewer than 8 of these are in use. Passes over all upstreams are paced by their number.

--- a/bench/cost/decision_cost.cpp
+++ b/bench/cost/decision_cost.cpp
@@ -1,4 +1,4 @@
-// Nanoseconds for each decision of admission, upstream and retry. Reported only; nothing depends on the figures.
+// Nanoseconds for each decision of admission, upstream, retry and placement. Reported only; nothing depends on the figures.
 
 #include <string>
 #include <vector>
@@ -7,6 +7,7 @@
 
 #include "trefoilstile/admission/class_scheduler.hpp"
 #include "trefoilstile/base/random.hpp"
+#include "trefoilstile/ingress/placement.hpp"
 #include "trefoilstile/retry/retry_policy.hpp"
 #include "trefoilstile/upstream/upstream_set.hpp"
 
@@ -102,6 +103,61 @@
     }
 }
 
+/// Placement of a request of the entry process among the upstreams of one service, and the work of a tick.
+struct PlacementWorld {
+    explicit PlacementWorld(std::size_t upstreams)
+        : placement(book, "r0", "r0a", 1)
+    {
+        book.setRegions({{"r0a", "r0"}, {"r0b", "r0"}, {"r1a", "r1"}, {"r1b", "r1"}, {"r2a", "r2"}, {"r2b", "r2"}});
+        ingress::Service service;
+        service.name = "ledger";
+        configuration.services.emplace(service.name, service);
+        book.setServices(configuration);
+        book.sourceAvailable(true, now - 60s);
+        for (std::size_t index = 0; index < upstreams; ++index) {
+            ingress::UpstreamReport report;
+            report.id = "u" + std::to_string(index);
+            report.service = "ledger";
+            report.address = "10.0.0.1:" + std::to_string(index);
+            report.failureDomain = "r" + std::to_string(index % 3) + (index % 2 == 0 ? "a" : "b");
+            report.slots = 9;
+            book.report(report, now);
+        }
+        for (const ingress::UpstreamBook::Pointer &upstream : book.ofService("ledger")) {
+            book.loadStated(*upstream, {4, 0, 9}, now);
+        }
+        placement.setDemand({{"r0", 1}, {"r1", 1}, {"r2", 1}});
+        placement.advance(configuration, now);
+        route.latencyObjective = 300ms;
+    }
+
+    base::TimePoint now{100s};
+    ingress::UpstreamBook book;
+    ingress::Placement placement;
+    ingress::Configuration configuration;
+    ingress::Route route;
+};
+
+void placeRequest(benchmark::State &state)
+{
+    PlacementWorld world(static_cast<std::size_t>(state.range(0)));
+    std::uint64_t key = 0;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(world.placement.choose({world.route, "ledger", base::mixBits(++key), {}, 2s}, world.configuration, world.now));
+    }
+}
+
+void advancePlacement(benchmark::State &state)
+{
+    PlacementWorld world(static_cast<std::size_t>(state.range(0)));
+    for (auto _ : state) {
+        world.book.advance(world.now);
+        world.placement.advance(world.configuration, world.now);
+    }
+}
+
+BENCHMARK(placeRequest)->Arg(36)->Arg(411)->Arg(3'000)->Arg(19'000);
+BENCHMARK(advancePlacement)->Arg(36)->Arg(411)->Arg(3'000)->Arg(19'000);
 BENCHMARK(chooseAndFinish<upstream::LeastOutstanding>)->Arg(12)->Arg(36)->Arg(360);
 BENCHMARK(chooseAndFinish<upstream::PowerOfTwoChoices>)->Arg(36);
 BENCHMARK(chooseAndFinish<upstream::LeastLoaded>)->Arg(36);
--- a/bench/placement/emulator.hpp
+++ b/bench/placement/emulator.hpp
@@ -183,7 +183,7 @@
     {
         const double rate = m_deployment.kinds[kind].perSecond * rateFactor(kind);
         const double pause = -std::log(1 - base::uniformUnit(m_random)) / rate;
-        m_clock.at(m_clock.now() + std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(pause)), [this, kind] {
+        m_clock.at(m_clock.now() + base::fromSeconds(pause), [this, kind] {
             if (m_clock.now() >= m_end) {
                 return;
             }
@@ -316,7 +316,7 @@
     void slowDown()
     {
         const auto at = [this](double seconds) {
-            return m_start + std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+            return m_start + base::fromSeconds(seconds);
         };
         for (auto &[id, upstream] : m_upstreams) {
             if (static_cast<double>(base::stableHash(id) % 1'000) >= m_scenario.slowPart * 1'000) {
--- a/bench/placement/scenario.cpp
+++ b/bench/placement/scenario.cpp
@@ -49,7 +49,7 @@
     Scenario slow = busy;
     slow.name = "slow upstreams";
     slow.load = 0.8;
-    slow.slowPart = 0.15;
+    slow.slowPart = 0.4;
     slow.slowFactor = 4;
     slow.slowFrom = 8;
     slow.slowTo = 14;
--- a/include/trefoilstile/base/time.hpp
+++ b/include/trefoilstile/base/time.hpp
@@ -28,6 +28,12 @@
     return std::chrono::duration<double>(span).count();
 }
 
+/// Span of a number of seconds.
+constexpr Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /// Converts a span to whole milliseconds, rounded down.
 constexpr std::int64_t toMilliseconds(Duration span)
 {
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -55,6 +55,11 @@
     double mostBias = 0.6;
     /// A rejected caller is told to stay away for at least this long: queues do not drain faster.
     base::Duration leastRetryAfter = std::chrono::milliseconds(300);
+    /// Upstreams considered for a request, the first ones by the ranking of its key. The cost of a request then does not grow
+    /// with the fleet; a sample of this size is all full only if nearly all upstreams are.
+    std::size_t considered = 32;
+    /// With fewer of them in use, all upstreams are considered.
+    std::size_t leastConsidered = 8;
     /// Part of the time left that an answer may be predicted to take.
     double deadlineShare = 0.9;
 };
@@ -100,7 +105,7 @@
     base::Duration wait{}; ///< expected for a slot there
     base::Duration retryAfter{}; ///< if there is no room: when some is expected
     std::string plannedRegion; ///< by the split of regions
-    std::size_t candidates{}; ///< usable upstreams in the planned region, or in all if it has none
+    std::size_t candidates{}; ///< upstreams considered in the planned region, or in all if it has none in use
     double leastLoadPerSlot{}; ///< among the candidates
 };
 
@@ -131,7 +136,7 @@
         m_members = members;
     }
 
-    /// Moves the region splits; to be called a few times a second.
+    /// Moves the region splits and measures the services; to be called a few times a second, less often with many upstreams.
     void advance(const Configuration &configuration, base::TimePoint now);
 
     PlacementResult choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now);
@@ -147,19 +152,35 @@
         bool warm = false;
     };
 
+    /// Usable upstreams of a service in one region; the hashes stand apart, as all of them are read for each request.
+    struct RegionGroup {
+        std::vector<std::uint64_t> hashes;
+        std::vector<UpstreamBook::Pointer> upstreams;
+    };
+
     struct ServiceState {
         RegionSplit split;
         double bias{}; ///< part of the own region's callers that are sent elsewhere because of its load
         std::optional<base::TimePoint> biasedAt;
         SpillLimit spill{0};
         std::map<const Upstream *, WarmUpShare> warmUp;
+        std::map<std::string, RegionGroup, std::less<>> groups; ///< by region
+        std::optional<std::uint64_t> groupsVersion; ///< of the book when `groups` was made
+    };
+
+    /// Upstreams for a request, in the order of their ranks.
+    struct Ranking {
+        std::vector<const UpstreamBook::Pointer *> inUse;
+        std::vector<const UpstreamBook::Pointer *> avoided;
     };
 
     ServiceState &state(std::string_view service);
     void updateBias(std::string_view service, ServiceState &serviceState, base::TimePoint now);
     bool admitsCold(ServiceState &service, const Upstream &upstream, const Configuration &configuration, base::TimePoint now);
     Candidate candidate(const PlacementRequest &request, const UpstreamBook::Pointer &upstream, std::size_t rank, base::TimePoint now) const;
-    std::vector<const UpstreamBook::Pointer *> ranked(const PlacementRequest &request, base::TimePoint now) const;
+    void refreshGroups(std::string_view service, ServiceState &serviceState);
+    Ranking ranked(const PlacementRequest &request, std::span<const RegionGroup *const> groups, std::size_t most, base::TimePoint now) const;
+    std::vector<Candidate> candidates(const PlacementRequest &request, std::span<const UpstreamBook::Pointer *const> upstreams, base::TimePoint now) const;
 
     UpstreamBook &m_book;
     std::string m_ownRegion;
--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -145,6 +145,7 @@
     void setRegions(std::map<std::string, std::string, std::less<>> regions)
     {
         m_regions = std::move(regions);
+        ++m_version;
     }
 
     /// Services of the configuration in effect; they tell how long a new upstream is cold.
@@ -163,9 +164,12 @@
     /// Failure domains whose upstreams get nothing.
     void setEvacuated(std::set<std::string, std::less<>> domains, base::TimePoint now);
 
-    /// Removes what has lapsed, and sets the limits of failure by how often each service fails. To be called a few times a second.
+    /// Removes what has lapsed.
     void advance(base::TimePoint now);
 
+    /// Sets the limits of failure by how often each service fails.
+    void updateFailureLimits(base::TimePoint now);
+
     /// All upstreams of a service, unusable ones included; stable until the next change.
     const std::vector<Pointer> &ofService(std::string_view service) const;
 
@@ -205,6 +209,12 @@
         return m_upstreams.size();
     }
 
+    /// Raised with each change of which upstreams there are or may be used, so that readers can tell whether to look again.
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
     const std::set<std::string, std::less<>> &evacuated() const
     {
         return m_evacuated;
@@ -215,8 +225,6 @@
     void noteAddress(const Pointer &upstream);
     void averageLoad(Upstream &upstream, double others, base::TimePoint statedAt, base::TimePoint now) const;
     void decay(Upstream &upstream, base::TimePoint now) const;
-    void removeLapsed(base::TimePoint now);
-    void setFailureLimits(base::TimePoint now);
 
     BookOptions m_options;
     std::map<std::string, std::string, std::less<>> m_regions;
@@ -225,6 +233,8 @@
     std::map<std::string, std::vector<Pointer>, std::less<>> m_services;
     std::unordered_map<std::uint64_t, Pointer> m_byHash; ///< the same upstreams by `Upstream::hash`
     std::unordered_map<std::string, Pointer> m_byAddress; ///< the one started last at each address, of known services
+    std::uint64_t m_version{};
+    bool m_anyMissing = false; ///< some entries may have `removeAt`
     base::TimePoint m_newsTakenAt;
     std::set<std::string, std::less<>> m_evacuated;
     bool m_available = false;
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -67,6 +67,7 @@
 private:
     void splitRegions(base::TimePoint now);
 
+    base::TimePoint m_nextSplit; ///< not before is the split over regions moved
     std::map<std::string, ingress::RetryShare, std::less<>> m_retryShares; ///< by service
 };
 
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -44,14 +44,17 @@
 {
     auto found = m_services.find(service);
     if (found == m_services.end()) {
-        found =
-            m_services.emplace(std::string(service), ServiceState{RegionSplit(m_options.split), 0, std::nullopt, SpillLimit(m_options.spillShare), {}}).first;
+        ServiceState fresh;
+        fresh.split = RegionSplit(m_options.split);
+        fresh.spill = SpillLimit(m_options.spillShare);
+        found = m_services.emplace(std::string(service), std::move(fresh)).first;
     }
     return found->second;
 }
 
 void Placement::advance(const Configuration &configuration, base::TimePoint now)
 {
+    m_book.updateFailureLimits(now);
     for (const auto &described : configuration.services) {
         const std::string &name = described.first;
         RegionCapacities regions;
@@ -151,27 +154,54 @@
     return result;
 }
 
-std::vector<const UpstreamBook::Pointer *> Placement::ranked(const PlacementRequest &request, base::TimePoint now) const
+void Placement::refreshGroups(std::string_view service, ServiceState &serviceState)
+{
+    if (serviceState.groupsVersion == m_book.version()) {
+        return;
+    }
+    serviceState.groupsVersion = m_book.version();
+    serviceState.groups.clear();
+    for (const UpstreamBook::Pointer &upstream : m_book.ofService(service)) {
+        if (m_book.usable(*upstream)) {
+            RegionGroup &group = serviceState.groups[upstream->region];
+            group.hashes.push_back(upstream->hash);
+            group.upstreams.push_back(upstream);
+        }
+    }
+}
+
+Placement::Ranking Placement::ranked(const PlacementRequest &request, std::span<const RegionGroup *const> groups, std::size_t most, base::TimePoint now) const
 {
     std::vector<std::pair<std::uint64_t, const UpstreamBook::Pointer *>> weighted;
-    std::vector<std::pair<std::uint64_t, const UpstreamBook::Pointer *>> avoided;
-    for (const UpstreamBook::Pointer &upstream : m_book.ofService(request.service)) {
-        const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), upstream.get()) != request.excluded.end();
-        if (excluded || !m_book.usable(*upstream) || !mayServe(request.route, upstream->region)) {
-            continue;
+    for (const RegionGroup *group : groups) {
+        for (std::size_t i = 0; i < group->hashes.size(); ++i) {
+            weighted.emplace_back(base::mixBits(request.key ^ group->hashes[i]), &group->upstreams[i]);
         }
-        const std::uint64_t weight = base::mixBits(request.key ^ upstream->hash);
-        (m_book.avoided(*upstream, now) && !m_book.trialDue(*upstream, now) ? avoided : weighted).emplace_back(weight, &upstream);
     }
-    // With all of them in doubt, any is better than none.
-    auto &chosen = weighted.empty() ? avoided : weighted;
-    std::sort(chosen.begin(), chosen.end(), [](const auto &left, const auto &right) {
+    const std::size_t total = weighted.size();
+    const auto kept = weighted.begin() + static_cast<std::ptrdiff_t>(std::min(most, total));
+    std::partial_sort(weighted.begin(), kept, weighted.end(), [](const auto &left, const auto &right) {
         return left.first > right.first;
     });
-    std::vector<const UpstreamBook::Pointer *> result;
-    result.reserve(chosen.size());
-    for (const auto &[weight, upstream] : chosen) {
-        result.push_back(upstream);
+    weighted.erase(kept, weighted.end());
+    Ranking ranking;
+    for (const auto &[weight, upstream] : weighted) {
+        if (std::find(request.excluded.begin(), request.excluded.end(), upstream->get()) == request.excluded.end()) {
+            const bool avoided = m_book.avoided(**upstream, now) && !m_book.trialDue(**upstream, now);
+            (avoided ? ranking.avoided : ranking.inUse).push_back(upstream);
+        }
+    }
+    const bool enough = ranking.inUse.size() >= m_options.leastConsidered || total <= most;
+    return enough ? ranking : ranked(request, groups, total, now);
+}
+
+std::vector<Placement::Candidate> Placement::candidates(
+    const PlacementRequest &request, std::span<const UpstreamBook::Pointer *const> upstreams, base::TimePoint now) const
+{
+    std::vector<Candidate> result;
+    result.reserve(upstreams.size());
+    for (const UpstreamBook::Pointer *upstream : upstreams) {
+        result.push_back(candidate(request, *upstream, result.size(), now));
     }
     return result;
 }
@@ -179,23 +209,32 @@
 PlacementResult Placement::choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now)
 {
     PlacementResult result;
-    const auto upstreams = ranked(request, now);
-    if (upstreams.empty()) {
-        return result;
-    }
     ServiceState &service = state(request.service);
-    service.spill.requestPlaced(now);
+    refreshGroups(request.service, service);
     const std::string_view planned = service.split.regionOf(pointOf(request.key));
-    const bool plannedServes = std::any_of(upstreams.begin(), upstreams.end(), [&](const auto *upstream) {
-        return (*upstream)->region == planned;
-    });
-    // Without a usable upstream in the planned region, all others are one group.
-    std::vector<Candidate> local;
-    std::vector<Candidate> remote;
-    for (const auto *upstream : upstreams) {
-        std::vector<Candidate> &group = !plannedServes || (*upstream)->region == planned ? local : remote;
-        group.push_back(candidate(request, *upstream, group.size(), now));
+    std::vector<const RegionGroup *> here; // at most one
+    std::vector<const RegionGroup *> elsewhere;
+    for (const auto &[region, group] : service.groups) {
+        if (mayServe(request.route, region)) {
+            (region == planned ? here : elsewhere).push_back(&group);
+        }
     }
+    Ranking ranking = ranked(request, here, m_options.considered, now);
+    if (ranking.inUse.empty()) {
+        // Without an upstream in use in the planned region, all regions are one group. With all of them in doubt, any is better
+        // than none.
+        here.insert(here.end(), elsewhere.begin(), elsewhere.end());
+        elsewhere.clear();
+        ranking = ranked(request, here, m_options.considered, now);
+        if (ranking.inUse.empty()) {
+            ranking.inUse = std::move(ranking.avoided);
+        }
+    }
+    if (ranking.inUse.empty()) {
+        return result;
+    }
+    service.spill.requestPlaced(now);
+    std::vector<Candidate> local = candidates(request, ranking.inUse, now);
     const auto cheaper = [](const Candidate &left, const Candidate &right) {
         return left.cost < right.cost;
     };
@@ -217,9 +256,10 @@
         return true;
     };
     const auto spillFrom = std::chrono::duration_cast<base::Duration>(m_options.spillWait * request.route.latencyObjective);
-    if (local.front().cost > spillFrom && !remote.empty()) {
+    if (local.front().cost > spillFrom) {
+        const std::vector<Candidate> remote = candidates(request, ranked(request, elsewhere, m_options.considered, now).inUse, now);
         const auto best = std::min_element(remote.begin(), remote.end(), cheaper);
-        const bool better = best->load + 1 <= best->slots && best->cost < local.front().cost;
+        const bool better = best != remote.end() && best->load + 1 <= best->slots && best->cost < local.front().cost;
         if (better && service.spill.tryTake(now) && take(*best, PlacementReason::Spill)) {
             return result;
         }
--- a/src/ingress/upstream_book.cpp
+++ b/src/ingress/upstream_book.cpp
@@ -12,6 +12,7 @@
 
 void UpstreamBook::setServices(const Configuration &configuration)
 {
+    ++m_version;
     m_warmUp.clear();
     for (const auto &[name, service] : configuration.services) {
         m_warmUp.emplace(name, service.warmUp);
@@ -24,6 +25,7 @@
 
 bool UpstreamBook::report(const UpstreamReport &report, base::TimePoint now)
 {
+    ++m_version;
     auto found = m_upstreams.find(report.id);
     const bool sameRun = found != m_upstreams.end() && found->second->report.startedAt == report.startedAt && found->second->report.service == report.service
         && found->second->report.address == report.address;
@@ -84,6 +86,7 @@
     }
     // The entry of a live upstream lapses while the source is away, and returns soon after the source does.
     const bool outageNoticed = !m_available || now < m_availableSince + m_options.lapseHold;
+    m_anyMissing = true;
     upstream.removeAt = outageNoticed ? std::max(now, m_availableSince) + m_options.lapseHold : now + m_options.unnoticedLapseHold;
 }
 
@@ -115,17 +118,10 @@
         }
     }
     m_evacuated = std::move(domains);
+    ++m_version;
 }
 
-void UpstreamBook::advance(base::TimePoint now)
-{
-    if (m_available) {
-        removeLapsed(now);
-    }
-    setFailureLimits(now);
-}
-
-void UpstreamBook::setFailureLimits(base::TimePoint now)
+void UpstreamBook::updateFailureLimits(base::TimePoint now)
 {
     for (const auto &[service, upstreams] : m_services) {
         double attempts = 0;
@@ -143,8 +139,11 @@
     }
 }
 
-void UpstreamBook::removeLapsed(base::TimePoint now)
+void UpstreamBook::advance(base::TimePoint now)
 {
+    if (!m_available || !m_anyMissing) {
+        return;
+    }
     std::vector<std::string> missing;
     std::vector<std::string> due;
     for (const auto &[id, upstream] : m_upstreams) {
@@ -159,6 +158,7 @@
     for (const std::string &id : lapsed ? due : missing) {
         drop(id);
     }
+    m_anyMissing = lapsed && due.size() < missing.size();
 }
 
 const std::vector<UpstreamBook::Pointer> &UpstreamBook::ofService(std::string_view service) const
@@ -287,6 +287,7 @@
 {
     const auto found = m_upstreams.find(id);
     const Pointer upstream = found->second;
+    ++m_version;
     upstream->gone = true;
     m_upstreams.erase(found);
     m_byHash.erase(upstream->hash);
--- a/src/ingress/upstream_book_test.cpp
+++ b/src/ingress/upstream_book_test.cpp
@@ -229,7 +229,7 @@
                 book.ended(*upstream, fails(*upstream, attempt) ? AttemptVerdict::Shed : AttemptVerdict::Served, 10ms, 0, s_start);
             }
         }
-        book.advance(s_start);
+        book.updateFailureLimits(s_start);
     };
     play([](const Upstream &upstream, int attempt) {
         return upstream.report.id == "f" || attempt % 2 == 0;
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -76,7 +76,11 @@
 void EntryCore::advance(base::TimePoint now)
 {
     book.advance(now);
-    splitRegions(now);
+    if (now >= m_nextSplit) {
+        // A pass over all upstreams takes 0.17 us for each, so this keeps it below 0.2% of a processor.
+        m_nextSplit = now + std::max<base::Duration>(std::chrono::milliseconds(100), book.size() * std::chrono::microseconds(100));
+        splitRegions(now);
+    }
     connections.sweep(now);
     requestRate.advance(now);
     log.flush();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -369,7 +369,7 @@
     attempt->startedAt = now;
     m_attempts.push_back(attempt);
     if (m_attempts.size() == 1 && m_route->route.idempotent) {
-        const auto expected = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(placed.upstream->serviceSeconds)) + placed.wait;
+        const auto expected = base::fromSeconds(placed.upstream->serviceSeconds) + placed.wait;
         m_hedgeAt = now + std::max(m_route->route.latencyObjective, s_hedgeFactor * expected);
     }
     m_core.book.sent(*attempt->upstream, now);
