Log which upstreams are avoided and how requests are split over regions

Two beliefs changed without a line: an upstream that is left out because of its failures, and the shares of the regions. A request line then named the upstream chosen, but not why others were not. Each change of health writes one line with the attempts, the failures and the limit; a share writes one when it has moved by 0.05.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -141,6 +141,9 @@
 
     PlacementResult choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now);
 
+    /// Shares of the regions for the requests to a service; empty if nothing is known of it.
+    std::map<std::string, double, std::less<>> shares(std::string_view service) const;
+
 private:
     struct Candidate {
         const UpstreamBook::Pointer *upstream{};
--- a/include/trefoilstile/ingress/region_split.hpp
+++ b/include/trefoilstile/ingress/region_split.hpp
@@ -60,6 +60,11 @@
     /// Share of a region, 0 to 1.
     double share(std::string_view region) const;
 
+    const std::map<std::string, double, std::less<>> &shares() const
+    {
+        return m_shares;
+    }
+
 private:
     RegionSplitOptions m_options;
     std::string m_ownRegion;
--- a/include/trefoilstile/ingress/upstream_book.hpp
+++ b/include/trefoilstile/ingress/upstream_book.hpp
@@ -129,6 +129,7 @@
     base::TimePoint avoidUntil; ///< no request before, unless all others are avoided too
     base::Duration pause{}; ///< last pause after failing to connect; 0 after a success
     base::TimePoint lastTrial;
+    bool avoidedInLog = false; ///< the last line of the log about it says that it is avoided
 };
 
 class UpstreamBook
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -42,6 +42,9 @@
     /// Connections of this instance to one upstream of a service: its part of what the upstream accepts from all.
     std::size_t connectionLimit(std::string_view service) const;
 
+    /// Writes a line if the upstream has come to be avoided, or is used again.
+    void logHealth(ingress::Upstream &upstream, base::TimePoint now);
+
     /// Work to be done a few times a second.
     void advance(base::TimePoint now);
 
@@ -66,7 +69,9 @@
 
 private:
     void splitRegions(base::TimePoint now);
+    void logSplits(base::TimePoint now);
 
+    std::map<std::string, std::map<std::string, double, std::less<>>, std::less<>> m_loggedShares; ///< by service and region
     base::TimePoint m_nextSplit; ///< not before is the split over regions moved
     std::map<std::string, ingress::RetryShare, std::less<>> m_retryShares; ///< by service
 };
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -52,6 +52,12 @@
     return found->second;
 }
 
+std::map<std::string, double, std::less<>> Placement::shares(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::map<std::string, double, std::less<>>() : found->second.split.shares();
+}
+
 void Placement::advance(const Configuration &configuration, base::TimePoint now)
 {
     m_book.updateFailureLimits(now);
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -3,6 +3,7 @@
 #include "trefoilstile/proxy/entry_core.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "trefoilstile/base/ids.hpp"
@@ -10,6 +11,14 @@
 namespace trefoilstile::proxy
 {
 
+namespace
+{
+
+/// Change of a region's share that is worth a line of the log; a split that moves then writes a few.
+constexpr double s_loggedChange = 0.05;
+
+} // namespace
+
 EntryCore::EntryCore(boost::asio::io_context &ioContext, Settings processSettings, HeaderNames headerNames, std::uint64_t seed)
     : context(ioContext)
     , settings(std::move(processSettings))
@@ -44,7 +53,47 @@
     // A split made from part of the upstreams would be left only slowly.
     if (routes && upstreamsKnown) {
         placement.advance(configuration, now);
+        logSplits(now);
+    }
+}
+
+void EntryCore::logSplits(base::TimePoint now)
+{
+    for (const auto &[service, description] : configuration.services) {
+        const auto shares = placement.shares(service);
+        auto &logged = m_loggedShares[service];
+        const bool moved = std::any_of(shares.begin(), shares.end(), [&logged](const auto &share) {
+            const auto before = logged.find(share.first);
+            return std::abs(share.second - (before == logged.end() ? 0.0 : before->second)) > s_loggedChange;
+        });
+        if (!moved) {
+            continue;
+        }
+        logged = shares;
+        LogLine line("region_split");
+        line.text("service", service).number("configuration", static_cast<std::int64_t>(configuration.version));
+        for (const auto &[region, share] : shares) {
+            line.real("share_" + region, share);
+        }
+        log.write(line, now);
+    }
+}
+
+void EntryCore::logHealth(ingress::Upstream &upstream, base::TimePoint now)
+{
+    const bool avoided = book.avoided(upstream, now);
+    if (avoided == upstream.avoidedInLog) {
+        return;
     }
+    upstream.avoidedInLog = avoided;
+    LogLine line("upstream_health");
+    line.text("upstream", upstream.report.id)
+        .flag("avoided", avoided)
+        .real("attempts", upstream.attempts)
+        .real("failures", upstream.failures)
+        .real("limit", upstream.failureLimit.value_or(0))
+        .milliseconds("pause_ms", std::max<base::Duration>(upstream.avoidUntil - now, base::Duration::zero()));
+    log.write(line, now);
 }
 
 ingress::RetryShare &EntryCore::retryShare(std::string_view service)
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -390,6 +390,7 @@
         end.verdict = m_cancelled ? AttemptVerdict::Cancelled : AttemptVerdict::Silent;
     }
     m_core.book.ended(*attempt->upstream, end.verdict, attempt->endedAt - attempt->startedAt, attempt->load, attempt->endedAt);
+    m_core.logHealth(*attempt->upstream, attempt->endedAt);
     if (end.verdict == AttemptVerdict::Served) {
         attempt->upstream->warmKeys.handled(m_key, attempt->endedAt);
     }
--- a/src/proxy/session_test.cpp
+++ b/src/proxy/session_test.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "test_pipe.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/proxy/entry_servers.hpp"
 
@@ -505,6 +506,27 @@
     BOOST_TEST(closed);
 }
 
+// Guards against an upstream that is left out without a line that tells why, and against a line for each of its failures.
+BOOST_AUTO_TEST_CASE(avoidedUpstreamIsLoggedOnce)
+{
+    const Pipe pipe;
+    World world([](const std::string &) {
+        return Reaction{"HTTP/1.1 200 OK\r\n", true};
+    });
+    EventLogOptions options;
+    options.descriptor = pipe.ends[1];
+    world.core.log = EventLog(options);
+    for (int i = 0; i < 5; ++i) {
+        world.send(request("/holds/1", "r" + std::to_string(i), "POST"), "\r\n\r\n");
+    }
+    world.core.log.flush();
+    const std::string log = pipe.read();
+    const std::string event = "\"event\":\"upstream_health\",\"upstream\":\"u0\",\"avoided\":true";
+    const auto first = log.find(event);
+    BOOST_REQUIRE(first != std::string::npos);
+    BOOST_TEST(log.find(event, first + 1) == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
