--- a/bench/cost/decision_cost.cpp
+++ b/bench/cost/decision_cost.cpp
@@ -1,13 +1,16 @@
-// Nanoseconds for each decision of admission, upstream, retry and placement. Reported only; nothing depends on the figures.
+// Nanoseconds for each decision of admission, upstream, retry, placement and logging. Reported only; nothing depends on the figures.
 
 #include <string>
 #include <vector>
 
 #include <benchmark/benchmark.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include "trefoilstile/admission/class_scheduler.hpp"
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/ingress/placement.hpp"
+#include "trefoilstile/proxy/event_log.hpp"
 #include "trefoilstile/retry/retry_policy.hpp"
 #include "trefoilstile/upstream/upstream_set.hpp"
 
@@ -156,6 +159,34 @@
     }
 }
 
+/// Line of one request with one attempt, and its share of the writing.
+void logRequest(benchmark::State &state)
+{
+    const int sink = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+    proxy::EventLogOptions options;
+    options.descriptor = sink;
+    options.linesPerSecond = 1e9; // without a limit, so that each line is written
+    options.burst = 1e9;
+    proxy::EventLog log(options);
+    base::TimePoint now(1s);
+    int lines = 0;
+    for (auto _ : state) {
+        now += 1ms;
+        proxy::LogLine line("request");
+        line.text("id", "9c41d07be2a35f68").text("outcome", "served").text("status", "200").milliseconds("ms", 173ms);
+        line.number("configuration", 12).number("members", 87).text("route", "r-zkazs47").text("service", "cuba28a");
+        line.milliseconds("time_allowed_ms", 2'980ms).text("planned_region", "bkk").number("candidates", 32).real("least_load_per_slot", 0.214);
+        line.text("upstream", "i-7f3a91c2").text("placed", "first").real("load", 3.25).milliseconds("load_age_ms", 120ms);
+        line.text("verdict", "served").milliseconds("took_ms", 171ms);
+        log.write(line, now);
+        if (++lines % 10 == 0) { // a busy instance writes about ten lines between two flushes
+            log.flush();
+        }
+    }
+    ::close(sink);
+}
+
+BENCHMARK(logRequest);
 BENCHMARK(placeRequest)->Arg(36)->Arg(411)->Arg(3'000)->Arg(19'000);
 BENCHMARK(advancePlacement)->Arg(36)->Arg(411)->Arg(3'000)->Arg(19'000);
 BENCHMARK(chooseAndFinish<upstream::LeastOutstanding>)->Arg(12)->Arg(36)->Arg(360);
