Let a question for changes wait 7 s, so that a lost answer is noticed

Cause: a path that acknowledges bytes and drops them swallowed an answer, and keep-alive probes do not show such a path. Since the wait had been raised to 18 s, the question ended 20 s after it was asked, and an instance sent requests to a leaving upstream for more than 2 s.

--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -27,10 +27,10 @@
 {
 
 struct TableWatchOptions {
-    /// How long the store holds a question for changes. Long, because each question is priced, and below the 20 s of history
-    /// that the store keeps, so that after a lost answer the changes are still to be had. A silent path is noticed by the
-    /// keep-alive of the connection.
-    base::Duration wait = std::chrono::seconds(18);
+    /// How long the store holds a question for changes. Long, because each question is priced. A silent path is noticed by the
+    /// keep-alive of the connection, but one that acknowledges bytes and drops them only by the time limit of the question,
+    /// 2 s after this.
+    base::Duration wait = std::chrono::seconds(7);
     /// Pause after changes, so that changes that come together are fetched together; doubles up to the longest while they
     /// keep coming.
     base::Duration gather = std::chrono::milliseconds(150);
