--- a/bench/policy/world.cpp
+++ b/bench/policy/world.cpp
@@ -141,7 +141,7 @@
     const double demand = m_scenario.phases[m_phase].demand[priorityClass] * m_deployment.totalSlots();
     if (demand > 0.0) {
         const double interval = base::toSeconds(m_deployment.work[priorityClass].held) / demand;
-        const base::Duration mean = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(interval));
+        const base::Duration mean = base::fromSeconds(interval);
         schedule(m_now + exponential(mean, m_arrivalRandom), EventKind::Arrival, static_cast<std::uint64_t>(priorityClass), m_phase);
     }
 }
--- a/include/trefoilstile/retry/retry_policy.hpp
+++ b/include/trefoilstile/retry/retry_policy.hpp
@@ -69,7 +69,7 @@
     {
         const double factor = std::clamp(overload, 1.0, base::toSeconds(m_options.retryAfterMost) / base::toSeconds(m_options.retryAfterBase));
         const double drawn = 0.5 + (2.0 * factor - 1.0) * base::uniformUnit(random);
-        return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(drawn * base::toSeconds(m_options.retryAfterBase)));
+        return base::fromSeconds(drawn * base::toSeconds(m_options.retryAfterBase));
     }
 
     const RetryOptions &options() const
--- a/src/admission/class_scheduler.cpp
+++ b/src/admission/class_scheduler.cpp
@@ -141,7 +141,7 @@
         const double held = heldWhenWaiting(priorityClass, slots) + (free ? 1.0 : 0.0);
         wait = static_cast<double>(ahead + 1) * m_times[priorityClass].held(m_options.priorServiceTime) / held;
     }
-    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(std::min(wait, s_longestWait)));
+    return base::fromSeconds(std::min(wait, s_longestWait));
 }
 
 // Slots per second that running work gives back.
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -154,7 +154,7 @@
     constexpr double spread = 0.64; // gives 0.4 standard deviations where the mean equals the slots
     const double waiting = 0.5 * (excess + std::sqrt(excess * excess + spread * result.load));
     const double service = upstream->serviceSeconds > 0 ? upstream->serviceSeconds : base::toSeconds(m_options.assumedServiceTime);
-    result.wait = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(waiting / result.slots * service));
+    result.wait = base::fromSeconds(waiting / result.slots * service);
     const double cold = rank == 0 || result.warm ? 0.0 : rank < m_options.coldChance.size() ? m_options.coldChance[rank] : 1.0;
     result.cost = result.wait + std::chrono::duration_cast<base::Duration>(cold * m_options.coldCost * request.route.latencyObjective);
     return result;
--- a/src/upstream/concurrency_limit.cpp
+++ b/src/upstream/concurrency_limit.cpp
@@ -117,7 +117,7 @@
     if (baseline <= 0.0) {
         return std::nullopt;
     }
-    return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(baseline));
+    return base::fromSeconds(baseline);
 }
 
 std::uint32_t instanceCeiling(std::uint32_t connections, std::uint32_t maximumEntryInstances)
