Take generation and hash of the status page from one sample

Cause: /v1/status joined the generation reported by the decision thread with the hash reported by the peer thread. Change: the hash travels with the document to the engine and is reported together with the generation.

--- a/examples/embed_engine.cpp
+++ b/examples/embed_engine.cpp
@@ -66,7 +66,7 @@
 
     auto document = std::make_shared<const document::SteeringDocument>(document::parseDocument(s_document));
     auto blocks = std::make_shared<const routing::BlockTable>(document->clientBlocks, document->defaultSite);
-    engine.handle(engine::DocumentUpdated{base::Generation{1}, document, blocks}, now, sink);
+    engine.handle(engine::DocumentUpdated{base::Generation{1}, document, blocks, {}}, now, sink);
 
     engine::RequestArrived arrival;
     arrival.id = base::RequestId{1};
--- a/include/trefoilstile/daemon/messages.hpp
+++ b/include/trefoilstile/daemon/messages.hpp
@@ -187,6 +187,7 @@
 
 struct DecisionStatus {
     base::Generation generation;
+    std::string hash; ///< of the document of `generation`
     base::Generation drainGeneration;
     bool leaving = false;
     engine::EngineStatistics figures;
@@ -206,7 +207,6 @@
 };
 
 struct PeerStatus {
-    std::string hash; ///< of the document in effect
     std::string notReadyReason; ///< empty once a document is in effect
     std::vector<MemberStatusLine> members;
     std::vector<steering::Alarm> alarms;
--- a/include/trefoilstile/engine/engine.hpp
+++ b/include/trefoilstile/engine/engine.hpp
@@ -96,6 +96,7 @@
     const idempotency::KeyIssuer &keyIssuer() const;
 
     base::Generation generation() const;
+    const std::string &documentHash() const; ///< of the document of `generation`
     base::Generation drainGeneration() const;
     EngineStatistics statistics() const;
 
@@ -199,6 +200,7 @@
     std::shared_ptr<const routing::BlockTable> m_blocks;
     std::optional<routing::RouteTable> m_routes; // of m_document
     base::Generation m_generation; // never decreases
+    std::string m_documentHash; // changes together with `m_generation`
     base::Generation m_drainGeneration; // never decreases
     std::vector<Drain> m_drains;
     std::vector<EntryMember> m_members;
--- a/include/trefoilstile/engine/event.hpp
+++ b/include/trefoilstile/engine/event.hpp
@@ -102,6 +102,7 @@
     base::Generation generation;
     std::shared_ptr<const document::SteeringDocument> document;
     std::shared_ptr<const routing::BlockTable> blocks; ///< of the document; built by the sender, since building it takes long for many blocks
+    std::string hash; ///< content hash of the document, for status pages; may be empty
 };
 
 /// The platform's list, which lags behind, shows that an upstream is leaving. It never shows that one has returned.
--- a/src/daemon/decision_actor.cpp
+++ b/src/daemon/decision_actor.cpp
@@ -203,7 +203,7 @@
 void DecisionActor::reportStatus(base::TimePoint now)
 {
     m_nextStatus = now + s_statusPeriod;
-    sample(DecisionStatus{m_engine.generation(), m_engine.drainGeneration(), m_engine.leaving(), m_engine.statistics(), m_published});
+    sample(DecisionStatus{m_engine.generation(), m_engine.documentHash(), m_engine.drainGeneration(), m_engine.leaving(), m_engine.statistics(), m_published});
 }
 
 void DecisionActor::beginStop(base::TimePoint now)
--- a/src/daemon/peer_actor.cpp
+++ b/src/daemon/peer_actor.cpp
@@ -163,7 +163,7 @@
     m_served.document = parsed.version;
     m_served.documentBytes = parsed.bytes;
     m_network.setServedVersions(m_served);
-    m_outputs.decisions->push(engine::Event(engine::DocumentUpdated{parsed.version.generation, parsed.document, parsed.blocks}));
+    m_outputs.decisions->push(engine::Event(engine::DocumentUpdated{parsed.version.generation, parsed.document, parsed.blocks, parsed.version.hash}));
 }
 
 void PeerActor::on(const DocumentRefused &refused)
@@ -324,7 +324,6 @@
 {
     m_nextStatus = http::now() + s_statusPeriod;
     PeerStatus status;
-    status.hash = m_dissemination.holder().announcement().document.hash;
     status.notReadyReason = m_dissemination.notReadyReason();
     status.alarms = m_dissemination.alarms();
     for (const auto &[incarnation, entry] : m_detector.table().entries()) {
--- a/src/daemon/reporting_actor.cpp
+++ b/src/daemon/reporting_actor.cpp
@@ -150,7 +150,7 @@
             {"failure_domain", m_settings.failureDomain},
             {"incarnation", base::toHex(m_incarnation)},
             {"generation", m_decisions.generation.value},
-            {"hash", m_peers.hash},
+            {"hash", m_decisions.hash},
             {"drain_generation", m_decisions.drainGeneration.value},
             {"leaving", m_decisions.leaving},
             {"alarms", std::move(alarms)},
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -37,6 +37,11 @@
     return m_generation;
 }
 
+const std::string &Engine::documentHash() const
+{
+    return m_documentHash;
+}
+
 base::Generation Engine::drainGeneration() const
 {
     return m_drainGeneration;
@@ -177,6 +182,7 @@
         return;
     }
     m_generation = event.generation;
+    m_documentHash = std::move(event.hash);
     m_document = event.document;
     m_blocks = event.blocks;
     m_routes.emplace(*m_document);
--- a/src/engine/engine_test.cpp
+++ b/src/engine/engine_test.cpp
@@ -67,7 +67,7 @@
         : engine({"e1", "production", "north", "north-a", s_self, 1, 2s, {}, {}}, now)
     {
         auto document = std::make_shared<document::SteeringDocument>(document::parseDocument(s_documentText));
-        handle(DocumentUpdated{base::Generation{1}, document, std::make_shared<routing::BlockTable>()});
+        handle(DocumentUpdated{base::Generation{1}, document, std::make_shared<routing::BlockTable>(), "hash-1"});
         handle(
             MembersUpdated{{{"e1", s_self, "127.0.0.1:9", "north", "north-a", true, false}, {"e2", s_peer, "127.0.0.1:8", "north", "north-a", true, false}}});
     }
@@ -454,7 +454,7 @@
     FakeEmbedder embedder;
     auto other = std::make_shared<document::SteeringDocument>(document::parseDocument(s_documentText));
     other->services[0].hosts = {"other.example"};
-    embedder.handle(DocumentUpdated{base::Generation{1}, other, std::make_shared<routing::BlockTable>()});
+    embedder.handle(DocumentUpdated{base::Generation{1}, other, std::make_shared<routing::BlockTable>(), "hash-other"});
     embedder.arrive("GET", "/");
     BOOST_TEST(embedder.openAttempts.size() == 1U);
     BOOST_TEST((embedder.engine.generation() == base::Generation{1}));
--- a/src/engine/shift_test.cpp
+++ b/src/engine/shift_test.cpp
@@ -53,7 +53,7 @@
     {
         auto document = std::make_shared<document::SteeringDocument>(document::parseDocument(s_documentText));
         auto blocks = std::make_shared<routing::BlockTable>(document->clientBlocks, document->defaultSite);
-        handle(DocumentUpdated{base::Generation{1}, document, blocks});
+        handle(DocumentUpdated{base::Generation{1}, document, blocks, "hash-1"});
         setMembers(true, true);
         advanceTime(61s); // longer than the 60 s for which a started instance does not use its quota
     }
