Stop using upstreams that leave or pause, and bound held responses

Cause: the request path did not know three things that upstreams tell or do. (1) A response may say that its upstream leaves; discovery may report that late, or not at all in an outage of the store. (2) A 503 may ask for no requests for a time. (3) Bytes may come without end: a body was held up to 16 MiB a request, so that ten of them exhausted an instance of 160 MB. A coroutine that threw ended silently. Change: the reasons against an upstream are one set, with leaving added; it lasts until the upstream starts anew, also over a removal and an older entry of the same run, and instances of a failure domain tell each other. A pause is kept, also by requests that wait for a connection; a service whose upstreams all pause rejects at once, with Retry-After from the first pause that ends. Response bodies share a fair budget of a quarter of the memory; a body that does not fit counts as a failure of its upstream. Exceptions of requests and sessions are logged, and the caller is answered. Ruled out: a limit by response alone (ten at once exceed the memory) and equal parts (large downloads would not fit).

--- a/include/trefoilstile/http/message.hpp
+++ b/include/trefoilstile/http/message.hpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "trefoilstile/base/time.hpp"
+
 namespace trefoilstile::http
 {
 
@@ -51,6 +53,10 @@
 /// Number of decimal digits only, or nothing; signs, spaces and overflow are malformed.
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
+/// `Retry-After` in seconds, with or without a fraction, at most 1e7 s; nothing for dates and for anything else that is not a
+/// decimal number.
+std::optional<base::Duration> parseRetryAfter(std::string_view value);
+
 /// `Host` value in lower case without its port; nothing if it is malformed.
 std::optional<std::string> hostWithoutPort(std::string_view value);
 
--- a/include/trefoilstile/http/request_reader.hpp
+++ b/include/trefoilstile/http/request_reader.hpp
@@ -11,13 +11,16 @@
 namespace trefoilstile::http
 {
 
-/// Bytes of request bodies held by all requests together.
+/// Bytes of bodies held by all requests, or all responses, together.
 struct BodyBudget {
     std::uint64_t held{};
     std::uint64_t limit{};
+    /// A share may only grow to the size of what would then still be free. Without a list of the shares this divides the budget
+    /// fairly: `n` bodies that grow without end get one part in `n + 1` each, and the part that stays free serves small bodies.
+    bool fair = false;
 };
 
-/// Part of the budget that one request holds; given back on destruction.
+/// Part of the budget that one request or response holds; given back on destruction.
 class BodyShare
 {
 public:
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -182,6 +182,7 @@
     struct Ranking {
         std::vector<const UpstreamTable::Pointer *> inUse;
         std::vector<const UpstreamTable::Pointer *> avoided;
+        base::TimePoint quietUntil = base::TimePoint::max(); ///< earliest end of a pause that an upstream has asked for; max: none has
     };
 
     ServiceState &state(std::string_view service);
--- a/include/trefoilstile/ingress/upstream_table.hpp
+++ b/include/trefoilstile/ingress/upstream_table.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,6 +20,7 @@
 
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/ingress/configuration.hpp"
+#include "trefoilstile/ingress/out_of_service.hpp"
 #include "trefoilstile/ingress/warm_keys.hpp"
 
 namespace trefoilstile::ingress
@@ -96,6 +98,15 @@
     /// Time constant of the average of the reported loads. A single report is already outdated when later requests are placed,
     /// because slots are released and reused several times between two reports.
     base::Duration loadTimeConstant = std::chrono::milliseconds(600);
+    /// Longest time for which an upstream may ask for no requests; longer times are reduced to it, so that a wrong value does not
+    /// exclude an upstream for good. Planned work takes less.
+    base::Duration maximumQuiet = std::chrono::hours(1);
+    /// How long a leaving run is remembered. An entry of it that an older source reports as ready does not bring it back; leaving
+    /// upstreams end within a minute.
+    base::Duration leavingMemory = std::chrono::minutes(10);
+    std::size_t maximumLeavingRuns = 65'536; ///< bounds the memory for leaving runs to some megabytes; the oldest are forgotten first
+    /// How long the other instances are told of a leaving run. Reports are sent every 300 ms and datagrams are lost occasionally.
+    base::Duration leavingNoticePeriod = std::chrono::seconds(1);
 };
 
 /// Options for a bound on the time until an upstream that is reported as leaving or removed gets no more requests.
@@ -113,8 +124,9 @@
     std::string region;
     std::uint64_t hash{}; ///< hash of the id, for ranking
     base::TimePoint warmingUpUntil; ///< end of the warm-up; the request rate is limited until then
-    bool removed = false; ///< removed from the table; must not get requests any more
-    bool superseded = false; ///< another upstream has since registered the same address
+    std::uint64_t run{}; ///< hash of the id and the start time; differs after a restart under the same id
+    OutOfService outOfService; ///< must not get requests while a reason applies
+    base::TimePoint quietUntil; ///< it has asked this instance for no requests until then
     std::optional<base::TimePoint> removeAt; ///< set if the entry is missing: time of removal, unless the upstream is reported again before
 
     std::uint32_t outstanding{}; ///< requests of this instance in flight at the upstream
@@ -180,10 +192,32 @@
     /// All upstreams of a service, including unusable ones. The reference is valid until the next change of the table.
     const std::vector<Pointer> &ofService(std::string_view service) const;
 
-    /// True if the upstream may get requests: registered, not draining, and not in an evacuated failure domain.
+    /// True if the upstream may get requests, now or once it is no longer quiet.
     bool usable(const Upstream &upstream) const
     {
-        return !upstream.removed && !upstream.superseded && !upstream.report.draining && !m_evacuated.contains(upstream.report.failureDomain);
+        return !upstream.outOfService.any();
+    }
+
+    /// Records that the upstream has announced in a response that it leaves. It gets no requests until it starts anew, whatever
+    /// discovery reports.
+    void leavingAnnounced(Upstream &upstream, base::TimePoint now);
+
+    /// Records that an upstream has announced to another instance that it leaves. Unknown runs are remembered, as their entry may
+    /// arrive later.
+    /// @param run `Upstream::run` of the upstream
+    void applyLeavingNotice(std::uint64_t run, base::TimePoint now);
+
+    /// Runs that were learned to be leaving within the last `leavingNoticePeriod`, for the other instances.
+    /// @param maximum maximum number of runs; the latest ones are kept
+    std::vector<std::uint64_t> leavingNotices(std::size_t maximum, base::TimePoint now) const;
+
+    /// Records that the upstream asked this instance for no requests for a time. Times that overlap end with the later one.
+    void quietRequested(Upstream &upstream, base::Duration duration, base::TimePoint now) const;
+
+    /// True if the upstream has asked for no requests now.
+    bool quiet(const Upstream &upstream, base::TimePoint now) const
+    {
+        return now < upstream.quietUntil;
     }
 
     /// True if the upstream is avoided because of failures. It still gets trial requests at intervals.
@@ -235,6 +269,8 @@
 
 private:
     void erase(const std::string &id);
+    /// Remembers a leaving run; returns whether it was new.
+    bool rememberLeaving(std::uint64_t run, base::TimePoint now);
     /// Marks all but the latest upstream at the address as superseded.
     void registerAddress(const Pointer &upstream);
     /// Adds a report to the moving average of the load of other instances.
@@ -248,6 +284,9 @@
     std::map<std::string, Pointer, std::less<>> m_upstreams; ///< by id
     std::map<std::string, std::vector<Pointer>, std::less<>> m_services;
     std::unordered_map<std::uint64_t, Pointer> m_byHash; ///< the same upstreams by `Upstream::hash`
+    std::unordered_map<std::uint64_t, Pointer> m_byRun; ///< the same upstreams by `Upstream::run`
+    std::unordered_map<std::uint64_t, base::TimePoint> m_leavingRuns; ///< when each leaving run was learned of
+    std::deque<std::uint64_t> m_leavingOrder; ///< the runs of `m_leavingRuns`, oldest first
     std::unordered_map<std::string, Pointer> m_byAddress; ///< the upstream started last at each address, of configured services only
     std::uint64_t m_version{};
     bool m_removalsPending = false; ///< whether some entries may have `removeAt`
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "trefoilstile/base/random.hpp"
+#include "trefoilstile/http/request_reader.hpp"
 #include "trefoilstile/ingress/configuration.hpp"
 #include "trefoilstile/ingress/fleet_limits.hpp"
 #include "trefoilstile/ingress/instance_capacity.hpp"
@@ -64,6 +65,7 @@
     ingress::MemberCount domainMembers; ///< instances in this failure domain
     ingress::PlannedStop stop;
     UpstreamConnections connections;
+    std::shared_ptr<http::BodyBudget> responseBudget; ///< for responses that are being received or not yet written to the caller
     bool upstreamsKnown = false; ///< the table of upstreams has been read completely at least once
     std::size_t sessions{}; ///< open caller connections
     std::size_t requests{}; ///< requests in service
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -16,9 +16,11 @@
 
 #include "trefoilstile/http/connection.hpp"
 #include "trefoilstile/http/message.hpp"
+#include "trefoilstile/http/request_reader.hpp"
 #include "trefoilstile/ingress/placement.hpp"
 #include "trefoilstile/ingress/route_index.hpp"
 #include "trefoilstile/proxy/entry_core.hpp"
+#include "trefoilstile/proxy/response_body.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -29,6 +31,7 @@
     std::string reason;
     http::Headers headers; ///< without the fields that frame the body
     std::string body;
+    http::BodyShare memory; ///< the part of `EntryCore::responseBudget` that `body` holds
 };
 
 /// Result of one attempt.
@@ -85,9 +88,14 @@
     ingress::PlacementResult place(base::TimePoint now);
     void launch(const ingress::PlacementResult &placed, base::TimePoint now);
     boost::asio::awaitable<void> attempt(std::shared_ptr<Attempt> attempt);
+    /// Records the end of an attempt; `run` continues with its result.
+    void endAttempt(Attempt &attempt, AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> exchangeWith(std::shared_ptr<Attempt> attempt);
     boost::asio::awaitable<AttemptEnd> readResponse(std::shared_ptr<Attempt> attempt);
-    AttemptEnd interpret(Attempt &attempt, http::ResponseHead head, std::string body) const;
+    /// Applies what the header fields say about the upstream itself: its load, that it leaves, that it wants no requests for a time.
+    void applyUpstreamFields(Attempt &attempt, const http::ResponseHead &head) const;
+    AttemptEnd interpret(http::ResponseHead head, ResponseBody body) const;
+    void logGivenUp(const Attempt &attempt, std::uint64_t bytes) const;
     std::string requestHead(const Attempt &attempt, base::TimePoint now) const;
     std::size_t running() const;
     void abortAttempts();
--- a/include/trefoilstile/proxy/header_names.hpp
+++ b/include/trefoilstile/proxy/header_names.hpp
@@ -15,6 +15,7 @@
     std::string upstreamId = "Trefoilstile-Upstream-Id"; ///< id of the upstream that sent the response
     std::string signature = "Trefoilstile-Signature"; ///< proves that an upstream generated the response
     std::string notRun = "Trefoilstile-Not-Run"; ///< present on a response if the upstream has not executed the request
+    std::string leaving = "Trefoilstile-Leaving"; ///< `1` in each response of an upstream that leaves and wants no further requests
     std::string load = "Trefoilstile-Load"; ///< numbers of running requests, queued requests and slots of the upstream, separated by commas
 };
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -112,6 +112,23 @@
     return result.ec == std::errc() ? std::optional(number) : std::nullopt;
 }
 
+std::optional<base::Duration> parseRetryAfter(std::string_view value)
+{
+    constexpr double longest = 1e7; // a hundred days; keeps the conversion within the range of a duration
+    const std::string_view text = trimmed(value);
+    const auto dot = std::min(text.find('.'), text.size());
+    const std::string_view fraction = text.substr(std::min(dot + 1, text.size()));
+    const auto digitsOnly = [](std::string_view digits) {
+        return !digits.empty() && digits.find_first_not_of("0123456789") == std::string_view::npos;
+    };
+    if (!digitsOnly(text.substr(0, dot)) || (dot < text.size() && !digitsOnly(fraction))) {
+        return std::nullopt;
+    }
+    double seconds = longest;
+    std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed); // leaves `longest` if it is out of range
+    return base::fromSeconds(std::min(seconds, longest));
+}
+
 std::optional<std::string> hostWithoutPort(std::string_view value)
 {
     std::string_view host = value;
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -140,7 +140,12 @@
     if (bytes <= m_bytes) {
         return true;
     }
-    if (!m_budget || m_budget->limit - std::min(m_budget->limit, m_budget->held) < bytes - m_bytes) {
+    if (!m_budget) {
+        return false;
+    }
+    const std::uint64_t free = m_budget->limit - std::min(m_budget->limit, m_budget->held);
+    const std::uint64_t wanted = bytes - m_bytes;
+    if (free < wanted || (m_budget->fair && free - wanted < bytes)) {
         return false;
     }
     m_budget->held += bytes - m_bytes;
--- a/src/http/service_test.cpp
+++ b/src/http/service_test.cpp
@@ -10,6 +10,7 @@
 #include "trefoilstile/http/message.hpp"
 #include "trefoilstile/http/operator_server.hpp"
 #include "trefoilstile/http/query.hpp"
+#include "trefoilstile/http/request_reader.hpp"
 
 using namespace trefoilstile;
 using namespace trefoilstile::http;
@@ -210,4 +211,42 @@
     BOOST_CHECK(first > base::TimePoint());
 }
 
+// Guards against a pause of a nonsensical length that an upstream asks for: it would be taken for an overload for hours, or overflow.
+BOOST_AUTO_TEST_CASE(retryAfterIsReadInSeconds)
+{
+    BOOST_TEST((parseRetryAfter("2") == base::Duration(std::chrono::seconds(2))));
+    BOOST_TEST((parseRetryAfter(" 0.25 ") == base::Duration(std::chrono::milliseconds(250))));
+    BOOST_TEST((parseRetryAfter("0") == base::Duration::zero()));
+    BOOST_TEST((parseRetryAfter("99999999999999999999999999") == base::Duration(std::chrono::seconds(10'000'000))));
+    for (const char *text : {"", " ", "-1", "+1", "1e3", "inf", "nan", "1.", ".5", "1.5.2", "1,5", "0x10", "Wed, 21 Oct 2026 07:28:00 GMT", "soon"}) {
+        BOOST_TEST(!parseRetryAfter(text).has_value(), text);
+    }
+}
+
+// Guards against bodies that grow without end and together leave no memory for others.
+BOOST_AUTO_TEST_CASE(fairBudgetLeavesAPartFree)
+{
+    const auto budget = std::make_shared<BodyBudget>();
+    budget->limit = 1'200;
+    budget->fair = true;
+    std::vector<BodyShare> shares;
+    for (int i = 0; i < 5; ++i) {
+        shares.emplace_back(budget);
+    }
+    bool grown = true;
+    for (std::uint64_t bytes = 10; grown; bytes += 10) {
+        grown = false;
+        for (BodyShare &share : shares) {
+            grown = share.growTo(bytes) || grown;
+        }
+    }
+    BOOST_TEST(budget->held >= 990U);
+    BOOST_TEST(budget->held <= 1'000U); // five parts of six
+    BodyShare small(budget);
+    BOOST_TEST(small.growTo(50));
+    shares.clear();
+    BodyShare alone(budget);
+    BOOST_TEST(alone.growTo(500));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -192,7 +192,9 @@
     weighted.erase(kept, weighted.end());
     Ranking ranking;
     for (const auto &[weight, upstream] : weighted) {
-        if (std::find(request.excluded.begin(), request.excluded.end(), upstream->get()) == request.excluded.end()) {
+        if (m_upstreams.quiet(**upstream, now)) {
+            ranking.quietUntil = std::min(ranking.quietUntil, (*upstream)->quietUntil);
+        } else if (std::find(request.excluded.begin(), request.excluded.end(), upstream->get()) == request.excluded.end()) {
             const bool avoided = m_upstreams.avoided(**upstream, now) && !m_upstreams.trialDue(**upstream, now);
             (avoided ? ranking.avoided : ranking.inUse).push_back(upstream);
         }
@@ -237,6 +239,11 @@
         }
     }
     if (ranking.inUse.empty()) {
+        if (ranking.quietUntil != base::TimePoint::max()) {
+            // Those that could serve the request have all asked for a pause, so no upstream has room before the first pause ends.
+            result.outcome = PlacementOutcome::NoRoom;
+            result.retryAfter = std::max<base::Duration>(m_options.minimumRetryAfter, ranking.quietUntil - now);
+        }
         return result;
     }
     service.spill.requestPlaced(now);
--- a/src/ingress/placement_test.cpp
+++ b/src/ingress/placement_test.cpp
@@ -212,6 +212,29 @@
     BOOST_TEST((fixture.choose(1).outcome == PlacementOutcome::NoUpstream));
 }
 
+// Guards against requests to an upstream that has asked for a pause, also as a trial or because all others are avoided, and against a
+// rejection without a useful time to return when all have asked for one.
+BOOST_AUTO_TEST_CASE(pausedUpstreamsAreNotChosen)
+{
+    PlacementFixture fixture(2, 1);
+    const auto &upstreams = fixture.upstreams.ofService(s_service);
+    fixture.upstreams.quietRequested(*upstreams[0], 3s, s_start);
+    for (std::uint64_t key = 0; key < 40; ++key) {
+        BOOST_TEST(fixture.choose(key).upstream != upstreams[0]);
+    }
+    for (const UpstreamTable::Pointer &upstream : {upstreams[1], upstreams[2]}) {
+        upstream->avoidUntil = s_start + 10s;
+    }
+    for (std::uint64_t key = 0; key < 40; ++key) {
+        BOOST_TEST(fixture.choose(key).upstream != upstreams[0]);
+    }
+    fixture.upstreams.quietRequested(*upstreams[1], 2s, s_start);
+    fixture.upstreams.quietRequested(*upstreams[2], 5s, s_start);
+    const PlacementResult result = fixture.choose(1);
+    BOOST_TEST((result.outcome == PlacementOutcome::NoRoom));
+    BOOST_TEST((result.retryAfter == 2s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::ingress
--- a/src/ingress/upstream_table.cpp
+++ b/src/ingress/upstream_table.cpp
@@ -6,10 +6,21 @@
 #include <cmath>
 
 #include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/base/random.hpp"
 
 namespace trefoilstile::ingress
 {
 
+namespace
+{
+
+std::uint64_t runOf(const UpstreamReport &report)
+{
+    return base::mixBits(base::stableHash(report.id) ^ base::mixBits(static_cast<std::uint64_t>(report.startedAt)));
+}
+
+} // namespace
+
 void UpstreamTable::setServices(const Configuration &configuration)
 {
     ++m_version;
@@ -39,16 +50,23 @@
         const auto region = m_regions.find(report.failureDomain);
         upstream->region = region == m_regions.end() ? std::string() : region->second;
         upstream->hash = base::stableHash(report.id);
+        upstream->run = runOf(report);
+        upstream->outOfService.set(OutOfServiceReason::Draining, report.draining);
+        upstream->outOfService.set(OutOfServiceReason::Leaving, m_leavingRuns.contains(upstream->run));
+        upstream->outOfService.set(OutOfServiceReason::Evacuated, m_evacuated.contains(report.failureDomain));
         upstream->warmingUpUntil = report.warmUpLeft > base::Duration::zero() ? now + report.warmUpLeft + m_options.warmUpMargin : base::TimePoint();
         registerAddress(upstream);
         m_upstreams.emplace(report.id, upstream);
         m_byHash.insert_or_assign(upstream->hash, upstream);
+        m_byRun.insert_or_assign(upstream->run, upstream);
         m_services[report.service].push_back(upstream);
         return true;
     }
     Upstream &upstream = *found->second;
     const bool changed = upstream.report.draining != report.draining || upstream.removeAt.has_value() || report.warmUpLeft > base::Duration::zero();
     upstream.report = report;
+    upstream.outOfService.set(OutOfServiceReason::Draining, report.draining);
+    upstream.outOfService.set(OutOfServiceReason::Evacuated, m_evacuated.contains(report.failureDomain));
     upstream.removeAt.reset();
     if (report.warmUpLeft > base::Duration::zero()) {
         upstream.warmingUpUntil = now + report.warmUpLeft + m_options.warmUpMargin;
@@ -65,11 +83,11 @@
     Pointer &last = m_byAddress[upstream->report.address];
     if (!last || last->report.startedAt <= upstream->report.startedAt) {
         if (last) {
-            last->superseded = true;
+            last->outOfService.set(OutOfServiceReason::Superseded);
         }
         last = upstream;
     } else {
-        upstream->superseded = true;
+        upstream->outOfService.set(OutOfServiceReason::Superseded);
     }
 }
 
@@ -118,9 +136,61 @@
         }
     }
     m_evacuated = std::move(domains);
+    for (const auto &[id, upstream] : m_upstreams) {
+        upstream->outOfService.set(OutOfServiceReason::Evacuated, m_evacuated.contains(upstream->report.failureDomain));
+    }
     ++m_version;
 }
 
+void UpstreamTable::leavingAnnounced(Upstream &upstream, base::TimePoint now)
+{
+    rememberLeaving(upstream.run, now);
+    if (upstream.outOfService.set(OutOfServiceReason::Leaving)) {
+        ++m_version;
+    }
+}
+
+void UpstreamTable::applyLeavingNotice(std::uint64_t run, base::TimePoint now)
+{
+    if (!rememberLeaving(run, now)) {
+        return;
+    }
+    const auto found = m_byRun.find(run);
+    if (found != m_byRun.end() && found->second->outOfService.set(OutOfServiceReason::Leaving)) {
+        ++m_version;
+    }
+}
+
+bool UpstreamTable::rememberLeaving(std::uint64_t run, base::TimePoint now)
+{
+    if (!m_leavingRuns.emplace(run, now).second) {
+        return false;
+    }
+    m_leavingOrder.push_back(run);
+    while (m_leavingOrder.size() > m_options.maximumLeavingRuns || m_leavingRuns[m_leavingOrder.front()] + m_options.leavingMemory < now) {
+        m_leavingRuns.erase(m_leavingOrder.front());
+        m_leavingOrder.pop_front();
+    }
+    return true;
+}
+
+std::vector<std::uint64_t> UpstreamTable::leavingNotices(std::size_t maximum, base::TimePoint now) const
+{
+    std::vector<std::uint64_t> runs;
+    for (auto run = m_leavingOrder.rbegin(); run != m_leavingOrder.rend() && runs.size() < maximum; ++run) {
+        if (m_leavingRuns.at(*run) + m_options.leavingNoticePeriod < now) {
+            break;
+        }
+        runs.push_back(*run);
+    }
+    return runs;
+}
+
+void UpstreamTable::quietRequested(Upstream &upstream, base::Duration duration, base::TimePoint now) const
+{
+    upstream.quietUntil = std::max(upstream.quietUntil, now + std::min(duration, m_options.maximumQuiet));
+}
+
 void UpstreamTable::updateFailureLimits(base::TimePoint now)
 {
     for (const auto &[service, upstreams] : m_services) {
@@ -289,9 +359,10 @@
     const auto found = m_upstreams.find(id);
     const Pointer upstream = found->second;
     ++m_version;
-    upstream->removed = true;
+    upstream->outOfService.set(OutOfServiceReason::Removed);
     m_upstreams.erase(found);
     m_byHash.erase(upstream->hash);
+    m_byRun.erase(upstream->run);
     if (const auto last = m_byAddress.find(upstream->report.address); last != m_byAddress.end() && last->second == upstream) {
         m_byAddress.erase(last);
     }
--- a/src/ingress/upstream_table_test.cpp
+++ b/src/ingress/upstream_table_test.cpp
@@ -149,7 +149,7 @@
     again.warmUpLeft = 2s;
     table.report(again, s_start + 1s);
     const UpstreamTable::Pointer after = table.ofService("ledger").front();
-    BOOST_TEST(before->removed);
+    BOOST_TEST(before->outOfService.has(OutOfServiceReason::Removed));
     BOOST_TEST(after->outstanding == 0U);
     BOOST_TEST((after->warmingUpUntil > s_start + 3s));
 }
@@ -299,6 +299,86 @@
     BOOST_TEST(upstream.serviceSeconds == 0.1, boost::test_tools::tolerance(1e-9));
 }
 
+// Guards against requests to an upstream that has announced in a response that it leaves, because discovery still reports it as ready: the
+// report is late, an outage keeps it from arriving, or an older source repeats it.
+BOOST_AUTO_TEST_CASE(announcedLeavingLastsUntilTheUpstreamStartsAnew)
+{
+    UpstreamTable table = tableWithAvailableSource();
+    UpstreamReport entry = report("a");
+    entry.startedAt = 1;
+    table.report(entry, s_start);
+    const std::uint64_t version = table.version();
+    table.leavingAnnounced(*table.ofService("ledger").front(), s_start);
+    BOOST_TEST(table.version() > version);
+    BOOST_TEST(!table.usable(*table.ofService("ledger").front()));
+    entry.slots = 8;
+    table.report(entry, s_start + 1s);
+    BOOST_TEST(!table.usable(*table.ofService("ledger").front()));
+    table.setSourceAvailable(false, s_start + 2s);
+    table.setSourceAvailable(true, s_start + 3s);
+    table.remove("a", s_start + 10s);
+    table.advance(s_start + 20s);
+    BOOST_TEST(table.ofService("ledger").empty());
+    table.report(entry, s_start + 21s); // the entry of the same run, from an older source
+    BOOST_TEST(!table.usable(*table.ofService("ledger").front()));
+    entry.startedAt = 2;
+    table.report(entry, s_start + 22s);
+    BOOST_TEST(table.usable(*table.ofService("ledger").front()));
+}
+
+// Guards against a leaving notice of another instance that is lost because it arrives before the entry, that concerns a new run under the
+// same id, or that is passed on for ever.
+BOOST_AUTO_TEST_CASE(leavingNoticesConcernOneRun)
+{
+    UpstreamTable other = tableWithAvailableSource();
+    UpstreamReport entry = report("a");
+    entry.startedAt = 1;
+    other.report(entry, s_start);
+    other.leavingAnnounced(*other.ofService("ledger").front(), s_start);
+    const auto notices = other.leavingNotices(10, s_start + 500ms);
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST(other.leavingNotices(10, s_start + 2s).empty());
+
+    UpstreamTable table = tableWithAvailableSource();
+    table.applyLeavingNotice(notices.front(), s_start);
+    table.report(entry, s_start);
+    BOOST_TEST(!table.usable(*table.ofService("ledger").front()));
+    entry.startedAt = 2;
+    table.report(entry, s_start + 1s);
+    table.applyLeavingNotice(notices.front(), s_start + 1s);
+    BOOST_TEST(table.usable(*table.ofService("ledger").front()));
+}
+
+// Guards against leaving runs that use up the memory, and against one that is forgotten too early.
+BOOST_AUTO_TEST_CASE(leavingRunsAreBounded)
+{
+    UpstreamTableOptions options;
+    options.maximumLeavingRuns = 2;
+    UpstreamTable table(options);
+    for (std::uint64_t run = 1; run <= 3; ++run) {
+        table.applyLeavingNotice(run, s_start);
+    }
+    BOOST_TEST((table.leavingNotices(10, s_start) == std::vector<std::uint64_t>{3, 2}));
+    BOOST_TEST((table.leavingNotices(1, s_start) == std::vector<std::uint64_t>{3}));
+    table.applyLeavingNotice(4, s_start + options.leavingMemory + 1s);
+    BOOST_TEST((table.leavingNotices(10, s_start + options.leavingMemory + 1s) == std::vector<std::uint64_t>{4}));
+}
+
+// Guards against a pause that an upstream asked for and that ends early, or never because of a wrong value.
+BOOST_AUTO_TEST_CASE(requestedPauseIsKeptAndBounded)
+{
+    UpstreamTable table = tableWithAvailableSource();
+    table.report(report("a"), s_start);
+    Upstream &upstream = *table.ofService("ledger").front();
+    table.quietRequested(upstream, 2s, s_start);
+    table.quietRequested(upstream, 500ms, s_start + 100ms);
+    BOOST_TEST(table.quiet(upstream, s_start + 2s - 1ms));
+    BOOST_TEST(!table.quiet(upstream, s_start + 2s));
+    BOOST_TEST(table.usable(upstream));
+    table.quietRequested(upstream, std::chrono::hours(2'000), s_start);
+    BOOST_TEST(!table.quiet(upstream, s_start + UpstreamTableOptions().maximumQuiet));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::ingress
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -5,13 +5,12 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 #include "trefoilstile/http/clock.hpp"
+#include "trefoilstile/proxy/activity.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -45,18 +44,23 @@
 void CallerSession::start()
 {
     const auto self = shared_from_this();
-    boost::asio::co_spawn(
-        m_core.context,
+    const auto end = [self]() {
+        self->handleDisconnect();
+    };
+    spawnOnce(
+        m_core,
+        "read_requests",
         [self]() {
             return self->readRequests();
         },
-        boost::asio::detached);
-    boost::asio::co_spawn(
-        m_core.context,
+        end);
+    spawnOnce(
+        m_core,
+        "write_responses",
         [self]() {
             return self->writeResponses();
         },
-        boost::asio::detached);
+        end);
 }
 
 void CallerSession::closeIfIdle()
@@ -123,12 +127,17 @@
             break;
         }
         pending->exchange = std::make_shared<Exchange>(m_core, std::move(request), http::now());
-        boost::asio::co_spawn(
-            m_core.context,
+        spawnOnce(
+            m_core,
+            "request",
             [self, pending]() {
                 return self->serve(pending);
             },
-            boost::asio::detached);
+            [self, pending]() {
+                pending->exchange->cancel();
+                pending->response = localResponse(502); // the request may have run
+                self->m_responseReady.cancel();
+            });
     }
     while (!m_ended && m_connection->socket.is_open()) {
         // No further requests are accepted; input is read and discarded only to detect that the caller disconnects.
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -18,6 +18,10 @@
 /// then writes a few events.
 constexpr double s_minimumLoggedChange = 0.05;
 
+/// Fraction of the memory used for bodies of responses. Growing a body needs up to half as much again for a moment, and request
+/// bodies, connections and the tables need the rest.
+constexpr double s_responseMemoryShare = 0.25;
+
 } // namespace
 
 EntryCore::EntryCore(boost::asio::io_context &ioContext, Settings processSettings, HeaderNames headerNames, std::uint64_t seed)
@@ -28,6 +32,9 @@
     , upstreamTable(ingress::upstreamTableOptions(settings.leavingBound))
     , placement(upstreamTable, settings.region, settings.failureDomain, base::stableHash(settings.name), ingress::placementOptions(settings.shiftLimit))
 {
+    responseBudget = std::make_shared<http::BodyBudget>();
+    responseBudget->limit = static_cast<std::uint64_t>(settings.memoryMegabytes * 1e6 * s_responseMemoryShare);
+    responseBudget->fair = true;
     upstreamTable.setRegions(settings.regions);
     // Without other information, all failure domains are assumed to have the same number of callers.
     std::map<std::string, double, std::less<>> demand;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -14,6 +12,7 @@
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/http/response_reader.hpp"
+#include "trefoilstile/proxy/activity.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -34,9 +33,6 @@
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 constexpr int s_maximumStrayResponses = 3;
 
-/// Maximum size of a response body, far above the largest download; a larger response is not forwarded.
-constexpr std::size_t s_maximumResponseBytes = 16U << 20U;
-
 /// No further attempt is started with less time than this: it could not end in time on any path, and the response needs time
 /// to reach the caller.
 constexpr base::Duration s_minimumAttemptTime = std::chrono::milliseconds(120);
@@ -201,6 +197,9 @@
 {
     const auto self = shared_from_this();
     ++m_core.requests;
+    const std::shared_ptr<void> counted(nullptr, [this](void *) { // also on an exception
+        --m_core.requests;
+    });
     m_core.requestRate.requestArrived();
     std::optional<CallerResponse> response = prepare();
     if (!response) {
@@ -234,7 +233,6 @@
         }
     }
     abortAttempts();
-    --m_core.requests;
     logEnd(response, http::now());
     if (m_cancelled) {
         co_return std::nullopt;
@@ -377,35 +375,45 @@
         m_hedgeAt = now + std::max(m_route->route.latencyObjective, s_hedgeFactor * expected);
     }
     m_core.upstreamTable.requestSent(*attempt->upstream, now);
-    boost::asio::co_spawn(
-        m_core.context,
+    spawnOnce(
+        m_core,
+        "attempt",
         [self = shared_from_this(), attempt]() {
             return self->attempt(attempt);
         },
-        boost::asio::detached);
+        [self = shared_from_this(), attempt]() {
+            if (attempt->connection) {
+                attempt->connection->close();
+            }
+            // Whether the upstream received the request is unknown.
+            self->endAttempt(*attempt, AttemptEnd{AttemptVerdict::Broken, true, false, std::nullopt});
+        });
 }
 
 boost::asio::awaitable<void> Exchange::attempt(std::shared_ptr<Attempt> attempt)
 {
     const auto self = shared_from_this();
-    AttemptEnd end = co_await exchangeWith(attempt);
-    attempt->endedAt = http::now();
-    if (attempt->aborted && !end.response) {
+    endAttempt(*attempt, co_await exchangeWith(attempt));
+}
+
+void Exchange::endAttempt(Attempt &attempt, AttemptEnd end)
+{
+    attempt.endedAt = http::now();
+    if (attempt.aborted && !end.response) {
         end.verdict = m_cancelled ? AttemptVerdict::Cancelled : AttemptVerdict::TimedOut;
     }
-    m_core.upstreamTable.attemptEnded(*attempt->upstream, end.verdict, attempt->endedAt - attempt->startedAt, attempt->load, attempt->endedAt);
-    m_core.logHealth(*attempt->upstream, attempt->endedAt);
+    m_core.upstreamTable.attemptEnded(*attempt.upstream, end.verdict, attempt.endedAt - attempt.startedAt, attempt.load, attempt.endedAt);
+    m_core.logHealth(*attempt.upstream, attempt.endedAt);
     if (end.verdict == AttemptVerdict::Served) {
-        attempt->upstream->warmKeys.handled(m_key, attempt->endedAt);
+        attempt.upstream->warmKeys.handled(m_key, attempt.endedAt);
     }
-    attempt->end = std::move(end);
-    attempt->ended = true;
+    attempt.end = std::move(end);
+    attempt.ended = true;
     m_wakeUpTimer.cancel();
 }
 
 boost::asio::awaitable<AttemptEnd> Exchange::exchangeWith(std::shared_ptr<Attempt> attempt)
 {
-    const AttemptEnd unreachable{AttemptVerdict::Unreachable, false, true, std::nullopt};
     const ingress::UpstreamReport &upstream = attempt->upstream->report;
     attempt->connection = m_core.connections.take(upstream.id, !m_route->route.idempotent, http::now());
     if (!attempt->connection) {
@@ -422,14 +430,14 @@
         const http::ErrorCode error = co_await attempt->connection->connect(endpoint);
         if (error || attempt->aborted) {
             attempt->connection->close();
-            co_return unreachable;
+            co_return AttemptEnd{AttemptVerdict::Unreachable, false, true, std::nullopt};
         }
         enableDeadPeerDetection(*attempt->connection, m_core.connections.options().unacknowledgedTimeout, m_core.connections.options().keepAliveSeconds);
         m_core.metrics.increment("trefoilstile_upstream_connections_opened_total", {{"service", m_service}});
     }
     // The state of the upstream may have changed while the connection was established.
     const base::TimePoint now = http::now();
-    if (!m_core.upstreamTable.usable(*attempt->upstream) || m_deadline <= now) {
+    if (!m_core.upstreamTable.usable(*attempt->upstream) || m_core.upstreamTable.quiet(*attempt->upstream, now) || m_deadline <= now) {
         attempt->connection->close();
         co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
     }
@@ -451,7 +459,6 @@
 
 boost::asio::awaitable<AttemptEnd> Exchange::readResponse(std::shared_ptr<Attempt> attempt)
 {
-    const AttemptEnd broken{AttemptVerdict::Broken, true, false, std::nullopt};
     for (int stray = 0; stray <= s_maximumStrayResponses; ++stray) {
         http::ResponseReader reader(attempt->connection, m_request.method == "HEAD");
         http::ResponseHead head;
@@ -459,15 +466,24 @@
         if (!headRead) {
             break;
         }
-        std::string body;
+        applyUpstreamFields(*attempt, head);
+        ResponseBody body(m_core.responseBudget);
+        if (!body.reserve(m_request.method == "HEAD" ? 0 : head.contentLength.value_or(0))) {
+            logGivenUp(*attempt, head.contentLength.value_or(0));
+            break;
+        }
         char chunk[http::s_bodyChunk];
         http::BodyRead state = http::BodyRead::Data;
-        while (state == http::BodyRead::Data && body.size() <= s_maximumResponseBytes) {
+        bool fits = true;
+        while (state == http::BodyRead::Data && fits) {
             std::size_t count = 0;
             state = co_await reader.readBody(chunk, count);
-            body.append(chunk, count);
+            fits = body.append({chunk, count});
+        }
+        if (!fits) {
+            logGivenUp(*attempt, body.size());
         }
-        if (state != http::BodyRead::End) {
+        if (state != http::BodyRead::End || !fits) {
             break;
         }
         const std::string *id = http::findHeader(head.headers, m_core.names.requestId);
@@ -481,21 +497,53 @@
         } else {
             attempt->connection->close();
         }
-        co_return interpret(*attempt, std::move(head), std::move(body));
+        co_return interpret(std::move(head), std::move(body));
     }
     attempt->connection->close();
-    co_return broken;
+    co_return AttemptEnd{AttemptVerdict::Broken, true, false, std::nullopt};
 }
 
-AttemptEnd Exchange::interpret(Attempt &attempt, http::ResponseHead head, std::string body) const
+void Exchange::applyUpstreamFields(Attempt &attempt, const http::ResponseHead &head) const
 {
-    AttemptEnd end{AttemptVerdict::Broken, true, false, std::nullopt};
+    if (head.status == 421) {
+        return; // sent by another upstream at the address
+    }
     const base::TimePoint now = http::now();
+    ingress::Upstream &upstream = *attempt.upstream;
     if (const std::string *load = http::findHeader(head.headers, m_core.names.load)) {
         if (const auto figure = parseLoad(*load)) {
-            m_core.upstreamTable.applyReportedLoad(*attempt.upstream, *figure, now);
+            m_core.upstreamTable.applyReportedLoad(upstream, *figure, now);
         }
     }
+    const std::string *leaving = http::findHeader(head.headers, m_core.names.leaving);
+    if (leaving != nullptr && *leaving == "1" && !upstream.outOfService.has(ingress::OutOfServiceReason::Leaving)) {
+        m_core.upstreamTable.leavingAnnounced(upstream, now);
+        LogLine line("upstream");
+        line.text("upstream", upstream.report.id).text("state", "leaving");
+        m_core.log.write(line, now);
+    }
+    const std::string *pause = head.status == 503 ? http::findHeader(head.headers, "Retry-After") : nullptr;
+    if (const auto duration = pause == nullptr ? std::nullopt : http::parseRetryAfter(*pause)) {
+        m_core.upstreamTable.quietRequested(upstream, *duration, now);
+        m_core.metrics.increment("trefoilstile_upstream_pauses_total", {{"service", m_service}});
+    }
+}
+
+void Exchange::logGivenUp(const Attempt &attempt, std::uint64_t bytes) const
+{
+    m_core.metrics.increment("trefoilstile_responses_given_up_total", {{"service", m_service}});
+    LogLine line("response_given_up");
+    line.text("upstream", attempt.upstream->report.id)
+        .text("id", m_id)
+        .number("bytes", static_cast<std::int64_t>(bytes))
+        .number("bytes_held", static_cast<std::int64_t>(m_core.responseBudget->held))
+        .text("why", "the body exceeds the limit or the memory for responses");
+    m_core.log.write(line, http::now());
+}
+
+AttemptEnd Exchange::interpret(http::ResponseHead head, ResponseBody body) const
+{
+    AttemptEnd end{AttemptVerdict::Broken, true, false, std::nullopt};
     if (http::findHeader(head.headers, m_core.names.notRun) != nullptr || head.status == 421) {
         end.verdict = head.status == 421 ? AttemptVerdict::Misdirected : AttemptVerdict::Shed;
         end.provedNotRun = true;
@@ -511,7 +559,8 @@
     response.reason = std::move(head.reason);
     response.headers = std::move(head.headers);
     http::removeHopByHop(response.headers);
-    response.body = std::move(body);
+    response.body = body.takeText();
+    response.memory = body.takeShare();
     end.response = std::move(response);
     return end;
 }
