--- a/include/trefoilstile/daemon/peer_network.hpp
+++ b/include/trefoilstile/daemon/peer_network.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "trefoilstile/daemon/feed_client.hpp"
 #include "trefoilstile/daemon/frame_connection.hpp"
 #include "trefoilstile/idempotency/sealed_tables.hpp"
 #include "trefoilstile/membership/messages.hpp"
@@ -39,6 +40,7 @@
     std::function<void(std::uint64_t fetch, steering::FetchResult, base::Generation, std::string body)> drainsFetched;
     std::function<void(std::uint64_t ticket, idempotency::SealedPart part)> keysOffered;
     std::function<void(const peer::LoadReport &)> loadsReported; ///< may be empty
+    std::function<void(peer::FeedRequest, std::function<void(peer::FeedResponse)> reply)> feedRequested; ///< may be empty; `reply` is called once, at any time
 };
 
 class PeerNetwork
@@ -59,6 +61,12 @@
     void fetchDocument(std::uint64_t fetch, const std::string &address, const steering::DocumentVersion &version);
     void fetchDrains(std::uint64_t fetch, const std::string &address, base::Generation generation);
 
+    /// Asks a peer for the changes of a table; see `FeedClient::request`.
+    void requestFeed(const std::string &address, peer::FeedRequest request, base::Duration timeout, FeedClient::Handler handler)
+    {
+        m_feeds.request(address, std::move(request), timeout, std::move(handler));
+    }
+
     /// Hands over a key table to a peer.
     /// @param onEnd called once at the end with true if the peer holds the complete table
     void handOff(const std::string &address, std::shared_ptr<const std::vector<idempotency::SealedPart>> parts, std::function<void(bool)> onEnd);
@@ -86,6 +94,7 @@
         peer::Part part;
     };
 
+    void serveFeed(FrameConnection &connection, peer::FeedRequest request);
     bool handleHandoffPart(FrameConnection &connection, const peer::HandoffPart &offered);
     std::string encodeHandoff(const idempotency::SealedPart &part);
     void sendDatagram(const std::string &peerAddress, const peer::Payload &payload);
@@ -107,6 +116,7 @@
 
     boost::asio::io_context &m_context;
     peer::EnvelopeCodec m_codec;
+    FeedClient m_feeds;
     PeerNetworkHandlers m_handlers;
     boost::asio::ip::udp::socket m_udp;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/include/trefoilstile/peer/payload.hpp
+++ b/include/trefoilstile/peer/payload.hpp
@@ -150,13 +150,64 @@
     friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
 };
 
-/// Loads that upstreams have reported to the sender since its last `LoadReport`.
+/// Version of the last change of a table that the sender knows.
+struct TableVersion {
+    std::string table;
+    std::uint64_t version{};
+
+    friend bool operator==(const TableVersion &, const TableVersion &) = default;
+};
+
+/// What the sender has learned recently and other instances should know.
 struct LoadReport {
-    std::vector<UpstreamLoad> loads;
+    std::vector<UpstreamLoad> loads; ///< reported by upstreams since the sender's last `LoadReport`
+    std::vector<std::uint64_t> leavingRuns; ///< runs of upstreams that have announced that they leave
+    std::vector<TableVersion> tables;
+    std::string peerAddress; ///< of the sender, for requests for changes of `tables`
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
+/// Asks for the changes of a table of the store. The answer is one `FeedResponse`.
+struct FeedRequest {
+    std::string table;
+    std::uint64_t after{}; ///< version that the sender has
+    bool completeRead = false; ///< part of a complete read, the first part with `after` 0
+    base::Duration wait{}; ///< how long the answer may wait for a change; 0: answer at once, also if the receiver is no reader
+    bool storeAvailable = true; ///< what the sender knows; a difference is answered at once
+
+    friend bool operator==(const FeedRequest &, const FeedRequest &) = default;
+};
+
+/// Status of the response to a `FeedRequest`.
+enum class FeedStatus : std::uint8_t {
+    Changes, ///< the response contains the changes known to the responder
+    NotReader, ///< the responder does not follow the store now; ask another reader
+    HistoryLost, ///< the responder does not know all removals since the version; read the table completely
+    NotReady, ///< the responder has started and does not have the table yet; ask again soon
+};
+
+/// Changed row of a table of the store.
+struct FeedRow {
+    std::string key;
+    std::string value;
+    std::uint64_t version{};
+    bool removed = false;
+
+    friend bool operator==(const FeedRow &, const FeedRow &) = default;
+};
+
+struct FeedResponse {
+    FeedStatus status = FeedStatus::NotReader;
+    std::string table;
+    std::uint64_t version{}; ///< the receiver has the table up to this version once it has applied the rows
+    bool more = false; ///< further changes are known; ask again
+    bool storeAvailable = false; ///< the store answered the last call of the responder
+    std::vector<FeedRow> rows;
+
+    friend bool operator==(const FeedResponse &, const FeedResponse &) = default;
+};
+
 /// All kinds of payload. The order determines the kind numbers on the wire, from 1, so new kinds must be appended.
 using Payload = std::variant<membership::Probe,
     membership::Ack,
@@ -174,7 +225,9 @@
     LoanReturn,
     LoanAck,
     CapacityAdvertisement,
-    LoadReport>;
+    LoadReport,
+    FeedRequest,
+    FeedResponse>;
 
 /// Transport of a payload.
 enum class Channel : std::uint8_t {
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -18,8 +18,6 @@
 #include <string_view>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,9 +26,11 @@
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/http/query.hpp"
 #include "trefoilstile/ingress/entry_list.hpp"
+#include "trefoilstile/proxy/activity.hpp"
 #include "trefoilstile/proxy/caller_listener.hpp"
+#include "trefoilstile/proxy/followed_table.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
-#include "trefoilstile/proxy/table_watch.hpp"
+#include "trefoilstile/proxy/registration.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -68,10 +68,8 @@
         : m_seed(std::random_device{}() + (static_cast<std::uint64_t>(std::random_device{}()) << 32U))
         , m_core(context, std::move(settings), Platform::headerNames(), m_seed)
         , m_store(context, m_core.settings.storeAddress)
-        , m_operatorObserver{*this}
-        , m_upstreamObserver{*this}
-        , m_operatorWatch(context, m_store, m_operatorObserver, Platform::operatorTable(), m_core.random.next())
-        , m_upstreamWatch(context, m_store, m_upstreamObserver, Platform::upstreamTable(), m_core.random.next(), watchOptions(m_core.settings.leavingBound))
+        , m_operator(m_core, m_store, OperatorObserver{*this}, Platform::operatorTable(), feedCall(), TableWatchOptions())
+        , m_upstreams(m_core, m_store, UpstreamObserver{*this}, Platform::upstreamTable(), feedCall(), watchOptions(m_core.settings.leavingBound))
         , m_incarnation{m_core.random.next()}
         , m_timer(context)
         , m_joinTimer(context)
@@ -94,26 +92,36 @@
             .text("incarnation", base::toHex(m_incarnation))
             .text("store", m_core.settings.storeAddress);
         m_core.log.write(line, http::now(), true);
-        spawn([this]() {
-            return m_operatorWatch.run();
+        forEachTable([](auto &table) {
+            table.start();
         });
-        spawn([this]() {
-            return m_upstreamWatch.run();
-        });
-        spawn([this]() {
+        spawnSupervised(m_core, "join", [this]() {
             return join();
         });
         awaitSignal();
         tick();
     }
 
+    /// Logs an exception that left a handler of the event loop. The loop may run again.
+    void handlerFailed(std::string_view error)
+    {
+        logActivityFailure(m_core, "event_loop", error);
+    }
+
     /// Reads the settings again; called on SIGHUP. Set before `start`. Errors derive from `base::Error`.
     std::function<Settings()> reload;
 
 private:
     static constexpr base::Duration s_tickPeriod = std::chrono::milliseconds(100);
-    static constexpr base::Duration s_loadReportPeriod = std::chrono::milliseconds(300); ///< shorter than the time constant of the loads
-    static constexpr std::size_t s_maximumLoadsPerReport = 50; ///< number of loads that fit into one datagram
+    static constexpr base::Duration s_reportPeriod = std::chrono::milliseconds(300); ///< shorter than the time constant of the loads
+    static constexpr std::size_t s_maximumLoadsPerReport = 45; ///< fits into one datagram together with `s_maximumLeavingPerReport`
+    static constexpr std::size_t s_maximumLeavingPerReport = 25;
+    /// After the join, readers are chosen from the registered instances until this share of them is known to run, or the time is
+    /// over. Otherwise every instance would consider itself a reader while all start.
+    static constexpr double s_settledShare = 0.6;
+    static constexpr base::Duration s_settleTime = std::chrono::seconds(3); ///< members are known within two seconds of a start
+    /// When the whole system starts for the first time, all instances register within a second, and no caller waits for them.
+    static constexpr base::Duration s_firstStartPause = std::chrono::seconds(1);
     static constexpr base::Duration s_joinPause = std::chrono::milliseconds(500);
     static constexpr base::Duration s_requestTimeout = std::chrono::seconds(10);
     static constexpr std::size_t s_lookupConnections = 512; ///< for each of the lookup, readiness and metrics servers
@@ -124,22 +132,6 @@
     static constexpr const char *s_keyRow = "peer-key";
     static constexpr const char *s_memberTable = "trefoilstile-members";
 
-    /// Row of an instance in the member table: the peer address and the failure domain, separated by a space.
-    struct Registration {
-        std::string peerAddress;
-        std::string failureDomain;
-
-        std::string text() const
-        {
-            return peerAddress + ' ' + failureDomain;
-        }
-        static Registration fromText(const std::string &text)
-        {
-            const auto space = std::min(text.find(' '), text.size());
-            return {text.substr(0, space), text.substr(std::min(space + 1, text.size()))};
-        }
-    };
-
     struct OperatorObserver {
         EntryProcess &process;
         void rowChanged(const StoreRow &row)
@@ -181,12 +173,6 @@
         }
     };
 
-    template<typename Function>
-    void spawn(Function function)
-    {
-        boost::asio::co_spawn(m_core.context, std::move(function), boost::asio::detached);
-    }
-
     void setHandlers()
     {
         m_lookups.handle(Platform::lookupPath(), [this](std::string_view query) {
@@ -199,6 +185,37 @@
             setGauges();
             return http::OperatorResponse{200, "text/plain; version=0.0.4", m_core.metrics.prometheusText()};
         });
+        forEachTable([this](auto &table) {
+            m_feedServer.addTable(table.name(), table.served([this] {
+                return m_core.stop.begun();
+            }));
+            table.setChangeHandler([this, &table] {
+                m_feedServer.tableChanged(table.name());
+                m_nextReport = std::min(m_nextReport, http::now());
+            });
+        });
+    }
+
+    template<typename Function>
+    void forEachTable(Function function)
+    {
+        function(m_operator);
+        function(m_upstreams);
+    }
+
+    FeedCall feedCall()
+    {
+        return [this](std::string address, peer::FeedRequest request, base::Duration timeout) {
+            return requestFeed(std::move(address), std::move(request), timeout);
+        };
+    }
+
+    boost::asio::awaitable<std::optional<peer::FeedResponse>> requestFeed(std::string address, peer::FeedRequest request, base::Duration timeout)
+    {
+        if (!m_members) {
+            co_return std::nullopt;
+        }
+        co_return co_await m_members->requestFeed(std::move(address), std::move(request), timeout);
     }
 
     bool ready() const
@@ -229,6 +246,11 @@
         m_core.metrics.set("trefoilstile_members", {}, static_cast<double>(m_core.members.value()));
         m_core.metrics.set("trefoilstile_caller_connections", {}, static_cast<double>(m_core.sessions));
         m_core.metrics.set("trefoilstile_requests_in_service", {}, static_cast<double>(m_core.requests));
+        forEachTable([](auto &table) {
+            table.setGauges();
+        });
+        m_core.metrics.set("trefoilstile_feed_requests_waiting", {}, static_cast<double>(m_feedServer.waiting()));
+        m_core.metrics.set("trefoilstile_response_bytes_held", {}, static_cast<double>(m_core.responseBudget->held));
         m_core.metrics.set("trefoilstile_log_lines_dropped", {}, static_cast<double>(m_core.log.dropped()));
     }
 
@@ -265,7 +287,7 @@
             const std::size_t routes = configuration.routes.size();
             const bool applied = m_core.applyConfiguration(std::move(configuration), now);
             line.number("version", static_cast<std::int64_t>(version)).number("routes", static_cast<std::int64_t>(routes)).flag("applied", applied);
-        } catch (const base::Error &error) {
+        } catch (const std::exception &error) {
             line.flag("applied", false).text("error", error.what()).number("kept", static_cast<std::int64_t>(m_core.configuration.version));
         }
         m_core.log.write(line, now, true);
@@ -288,7 +310,7 @@
                     .text("address", report.address)
                     .text("failure_domain", report.failureDomain)
                     .milliseconds("warm_up_ms", report.warmUpLeft);
-            } catch (const base::Error &error) {
+            } catch (const std::exception &error) {
                 // A row that cannot be decoded describes no usable upstream.
                 m_core.upstreamTable.remove(row.key, now);
                 line.text("state", "unreadable").text("error", error.what());
@@ -327,44 +349,129 @@
         if (written.status != StoreStatus::Ok) {
             co_return false;
         }
+        if (m_core.settings.firstStart) {
+            m_joinTimer.expires_after(s_firstStartPause);
+            boost::system::error_code ignored; // the timer is not cancelled
+            co_await m_joinTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        }
         const StoreResult rows = co_await m_store.readAll(s_memberTable);
         if (rows.status != StoreStatus::Ok) {
             co_return false;
         }
         std::vector<std::string> seeds;
         std::size_t inDomain = 0;
+        m_registered.clear();
         for (const StoreRow &row : rows.rows) {
             const Registration other = Registration::fromText(row.value);
-            inDomain += other.failureDomain == own.failureDomain ? 1 : 0;
+            if (!other.valid()) {
+                LogLine line("registration_ignored");
+                line.text("name", row.key).text("peer_address", other.peerAddress);
+                m_core.log.write(line, http::now());
+                continue;
+            }
+            if (other.failureDomain == own.failureDomain) {
+                ++inDomain;
+                m_registered.push_back({row.key, other.peerAddress});
+            }
             if (other.peerAddress != own.peerAddress) {
                 seeds.push_back(other.peerAddress);
             }
         }
         // Until members have been contacted, all registered instances are assumed to be running.
-        m_core.members.observe(rows.rows.size(), http::now());
+        m_core.members.observe(seeds.size() + 1, http::now());
         m_core.domainMembers.observe(inDomain, http::now());
+        m_joinedAt = http::now();
         m_members = std::make_unique<MemberLink>(m_core.context, m_core.settings, keys.rows.front().value, m_incarnation, seeds, m_core.random.next());
-        m_members->loadReported = [this](const ingress::LoadObservation &observation) {
-            m_core.upstreamTable.applyLoadObservation(observation, http::now());
+        m_members->reportReceived = [this](const FleetReport &report) {
+            applyReport(report);
+        };
+        m_members->feedRequested = [this](peer::FeedRequest request, FeedServer::Reply reply) {
+            m_feedServer.handle(std::move(request), std::move(reply), http::now());
         };
+        updateReaders();
         LogLine line("joined");
         line.number("registered", static_cast<std::int64_t>(rows.rows.size()));
         m_core.log.write(line, http::now(), true);
         co_return true;
     }
 
+    void applyReport(const FleetReport &report)
+    {
+        const base::TimePoint now = http::now();
+        for (const ingress::LoadObservation &load : report.loads) {
+            m_core.upstreamTable.applyLoadObservation(load, now);
+        }
+        for (const std::uint64_t run : report.leavingRuns) {
+            m_core.upstreamTable.applyLeavingNotice(run, now);
+        }
+        for (const KnownTable &known : report.tables) {
+            forEachTable([&](auto &table) {
+                table.heard(known, report.peerAddress, now);
+            });
+        }
+    }
+
+    void sendReports(base::TimePoint now)
+    {
+        if (now < m_nextReport) {
+            return;
+        }
+        m_nextReport = now + s_reportPeriod;
+        FleetReport report;
+        report.loads = m_core.upstreamTable.takeLoadObservations(s_maximumLoadsPerReport, now);
+        report.leavingRuns = m_core.upstreamTable.leavingNotices(s_maximumLeavingPerReport, now);
+        bool news = !report.leavingRuns.empty();
+        bool reader = false;
+        forEachTable([&](auto &table) {
+            report.tables.push_back(table.known());
+            news = table.takeNews() || news;
+            reader = reader || table.readsStore();
+        });
+        if (!report.loads.empty() || news) {
+            m_members->sendReport(report);
+        }
+        if (reader && news) {
+            report.loads.clear(); // only instances of one failure domain share loads
+            m_members->sendReportToOtherDomains(report, now);
+        }
+    }
+
+    /// Chooses the readers of this failure domain: from the members, or from the register until the members are known.
+    void updateReaders()
+    {
+        const std::vector<feed::ReaderCandidate> members = m_members->readerCandidates();
+        const bool known = static_cast<double>(members.size()) >= s_settledShare * static_cast<double>(m_registered.size());
+        m_settled = m_settled || known || http::now() >= m_joinedAt + s_settleTime;
+        const feed::Readers readers = feed::chooseReaders(m_settled ? members : m_registered, m_core.settings.name);
+        forEachTable([&readers](auto &table) {
+            table.setReaders(readers.self, readers.others);
+        });
+    }
+
+    /// Periodic work. The next call is scheduled first, so that an exception does not end the series.
     void tick()
     {
         const base::TimePoint now = http::now();
+        m_timer.expires_after(s_tickPeriod);
+        m_timer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
         m_core.advance(now);
+        m_feedServer.advance(now);
         if (m_members) {
             m_members->reportSpareCapacity(ingress::spareCapacity(ingress::instanceCapacity(m_core.settings.resources), m_core.requestRate.perSecond()));
             m_members->tick(now);
             observeMembers(now);
-            if (now >= m_nextLoadReport) {
-                m_nextLoadReport = now + s_loadReportPeriod;
-                m_members->reportLoads(m_core.upstreamTable.takeLoadObservations(s_maximumLoadsPerReport, now));
+            if (!m_settled) {
+                updateReaders();
             }
+            sendReports(now);
+            forEachTable([now](auto &table) {
+                table.checkLag(now);
+                table.logSource(now);
+            });
         }
         const bool idle = m_core.sessions == 0 && m_core.requests == 0 && m_stopSince && now - *m_stopSince > m_core.settings.lookupLifetime;
         if (m_core.stop.expired(now) || idle) {
@@ -373,14 +480,7 @@
             m_core.log.write(line, now, true);
             m_core.log.flush();
             m_core.context.stop();
-            return;
         }
-        m_timer.expires_after(s_tickPeriod);
-        m_timer.async_wait([this](const boost::system::error_code &error) {
-            if (!error) {
-                tick();
-            }
-        });
     }
 
     void observeMembers(base::TimePoint now)
@@ -415,6 +515,7 @@
             return m_members->members().find(entry.first) == nullptr;
         });
         m_core.placement.setMembers(std::move(others), m_core.domainMembers.value());
+        updateReaders();
     }
 
     void awaitSignal()
@@ -477,10 +578,10 @@
     std::uint64_t m_seed;
     EntryCore m_core;
     typename Platform::Store m_store;
-    OperatorObserver m_operatorObserver;
-    UpstreamObserver m_upstreamObserver;
-    TableWatch<typename Platform::Store, OperatorObserver> m_operatorWatch;
-    TableWatch<typename Platform::Store, UpstreamObserver> m_upstreamWatch;
+    std::unique_ptr<MemberLink> m_members; ///< null until joined
+    FollowedTable<typename Platform::Store, OperatorObserver> m_operator;
+    FollowedTable<typename Platform::Store, UpstreamObserver> m_upstreams;
+    FeedServer m_feedServer;
     base::IncarnationId m_incarnation;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_joinTimer;
@@ -489,12 +590,14 @@
     http::OperatorServer m_readiness;
     http::OperatorServer m_metrics;
     CallerListener m_callers;
-    std::unique_ptr<MemberLink> m_members; ///< null until joined
     std::set<std::string, std::less<>> m_evacuated; ///< failure domains
     std::map<base::IncarnationId, LoggedMember> m_loggedMembers;
     std::uint64_t m_membersVersion = ~0ULL; ///< version of the member table that `observeMembers` last handled
     std::optional<base::TimePoint> m_stopSince; ///< time of SIGTERM
-    base::TimePoint m_nextLoadReport;
+    base::TimePoint m_nextReport;
+    std::vector<feed::ReaderCandidate> m_registered; ///< instances of this failure domain in the register at the join
+    base::TimePoint m_joinedAt;
+    bool m_settled = false; ///< the members are known well enough to choose readers from them
 };
 
 } // namespace trefoilstile::proxy
--- a/include/trefoilstile/proxy/member_link.hpp
+++ b/include/trefoilstile/proxy/member_link.hpp
@@ -1,18 +1,23 @@
-// Membership of one entry process: connects the failure detector and the load reports with the peer network.
+// Membership of one entry process: connects the failure detector, the reports between instances and the feeds of tables with the
+// peer network.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/daemon/peer_network.hpp"
-#include "trefoilstile/ingress/upstream_table.hpp"
+#include "trefoilstile/feed/readers.hpp"
 #include "trefoilstile/membership/failure_detector.hpp"
+#include "trefoilstile/proxy/feed_server.hpp"
+#include "trefoilstile/proxy/fleet_report.hpp"
 #include "trefoilstile/proxy/settings.hpp"
 
 namespace trefoilstile::proxy
@@ -52,11 +57,23 @@
     /// Number of members in this failure domain that are not dead, including this one.
     std::size_t domainMemberCount() const;
 
-    /// Sends loads that upstreams have reported to this instance to a random sample of the members of this failure domain.
-    void reportLoads(const std::vector<ingress::LoadObservation> &observations);
+    /// Sends a report to a random sample of the members of this failure domain.
+    void sendReport(const FleetReport &report);
 
-    /// Called for each load that another member reports. May be empty.
-    std::function<void(const ingress::LoadObservation &)> loadReported;
+    /// Sends a report to one instance of each other failure domain.
+    void sendReportToOtherDomains(const FleetReport &report, base::TimePoint now);
+
+    /// Called for each report that another member sends. May be empty.
+    std::function<void(const FleetReport &)> reportReceived;
+
+    /// Alive members of this failure domain that are not leaving, as candidates for readers of the store.
+    std::vector<feed::ReaderCandidate> readerCandidates() const;
+
+    /// Asks the instance at a peer address for the changes of a table. Returns nothing if it does not respond in time.
+    boost::asio::awaitable<std::optional<peer::FeedResponse>> requestFeed(std::string address, peer::FeedRequest request, base::Duration timeout);
+
+    /// Answers the requests of other instances for changes. May be empty.
+    std::function<void(peer::FeedRequest, FeedServer::Reply)> feedRequested;
 
     /// Sends a message of the failure detector, which requires this member function.
     void send(membership::Outgoing outgoing);
@@ -64,8 +81,10 @@
 private:
     daemon::PeerNetworkHandlers handlers();
 
+    boost::asio::io_context &m_context;
     base::IncarnationId m_self;
     std::string m_domain;
+    std::string m_address; ///< peer address of this instance
     base::SplitMix64 m_random;
     daemon::PeerNetwork m_network;
     membership::FailureDetector m_detector;
--- a/include/trefoilstile/proxy/row_store.hpp
+++ b/include/trefoilstile/proxy/row_store.hpp
@@ -11,16 +11,12 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "trefoilstile/base/time.hpp"
+#include "trefoilstile/feed/row.hpp"
 
 namespace trefoilstile::proxy
 {
 
-struct StoreRow {
-    std::string key;
-    std::string value;
-    std::uint64_t version{};
-    bool removed = false; ///< the row has been deleted
-};
+using StoreRow = feed::Row;
 
 enum class StoreStatus : std::uint8_t {
     Ok,
@@ -35,16 +31,23 @@
     std::vector<StoreRow> rows;
     std::uint64_t version{}; ///< newest table version that the result covers
     std::string detail; ///< description of a failure, for logs
+    bool sourceAvailable = true; ///< false if another instance gave the result and does not reach the store
+    bool coalesced = false; ///< the source has combined changes in quick succession, so the next call needs no pause
 };
 
 // clang-format off
 template<typename T>
-concept RowStore = requires(T store, std::string table, std::string key, std::string value, std::uint64_t version, base::Duration wait)
+concept RowReader = requires(T store, std::string table, std::uint64_t version, base::Duration wait)
 {
     /// All rows of a table.
     { store.readAll(table) } -> std::same_as<boost::asio::awaitable<StoreResult>>;
     /// Rows changed after the version. Returns as soon as there is a change, or without rows after `wait`.
     { store.readChanges(table, version, wait) } -> std::same_as<boost::asio::awaitable<StoreResult>>;
+};
+
+template<typename T>
+concept RowStore = RowReader<T> && requires(T store, std::string table, std::string key, std::string value, std::uint64_t version)
+{
     /// Writes a row if its version equals `version`; 0 means that the row must not exist.
     { store.writeIf(table, key, value, version) } -> std::same_as<boost::asio::awaitable<StoreResult>>;
     /// Writes a row unconditionally.
--- a/include/trefoilstile/proxy/settings.hpp
+++ b/include/trefoilstile/proxy/settings.hpp
@@ -34,6 +34,7 @@
     double retrySlack = 0; ///< retries per window beyond the ratio, over all instances
     base::Duration leavingBound = std::chrono::seconds(2); ///< time after which an upstream that was reported as draining or removed gets no requests
     double shiftLimit = 0.15; ///< fraction of a region's requests that may move to another region within 2 s
+    bool firstStart = false; ///< the whole system starts for the first time, so that no caller waits for it
     std::string settingsFile; ///< path of the file that was read; empty: none
 };
 
--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -2,17 +2,18 @@
 // available.
 //
 // Known rows are kept while the store does not respond. If the store no longer has the history of changes, the table is read
-// again, and known rows that are missing from it are reported as removed.
+// again, and known rows that are missing from it are reported as removed. Rows that have not changed are not reported again.
 #pragma once
 
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
-#include <map>
+#include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +22,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "trefoilstile/base/random.hpp"
+#include "trefoilstile/feed/table_copy.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/proxy/row_store.hpp"
 
@@ -58,13 +60,13 @@
 concept TableObserver = requires(T observer, const StoreRow &row, std::string_view detail)
 {
     observer.rowChanged(row);
-    observer.tableRead(); ///< after a complete read: `rowChanged` has been called for all rows
+    observer.tableRead(); ///< after a complete read: `rowChanged` has been called for all rows that differ from before
     observer.storeLost(detail);
     observer.storeRegained();
 };
 // clang-format on
 
-template<RowStore Store, TableObserver Observer>
+template<RowReader Store, TableObserver Observer>
 class TableWatch
 {
 public:
@@ -80,7 +82,7 @@
     {
     }
 
-    /// Runs until `stop`.
+    /// Runs until `stop`. After an exception of the observer it may be called again; the other rows have been reported.
     boost::asio::awaitable<void> run()
     {
         while (!m_stopped) {
@@ -102,6 +104,28 @@
         }
     }
 
+    /// Applies changes that were received outside the watch's own calls.
+    void merge(StoreResult result)
+    {
+        if (m_version && result.status == StoreStatus::Ok) {
+            applyRows(std::move(result), false);
+        }
+    }
+
+    /// Called after each change of `copy` or of the availability of the store. May be empty.
+    std::function<void()> changed;
+
+    const feed::TableCopy &copy() const
+    {
+        return m_copy;
+    }
+
+    /// True if the store responded to the last call, by this instance or by the one that it follows.
+    bool available() const
+    {
+        return m_available;
+    }
+
     /// Ends `run` after the request in progress; ends a pause at once.
     void stop()
     {
@@ -118,47 +142,64 @@
             return {};
         }
         if (result.status != StoreStatus::Ok) {
-            if (m_available) {
-                m_available = false;
-                m_observer.storeLost(result.detail);
-            }
+            setAvailable(false, result.detail);
             const base::Duration longest = result.status == StoreStatus::Refused ? m_options.maximumBackoff : m_options.maximumUnansweredBackoff;
             const base::Duration pause = base::jittered(std::min(m_backoff, longest), m_options.backoffJitter, m_random);
             m_backoff = std::min(m_backoff * 2, longest);
             return pause;
         }
         m_backoff = m_options.initialBackoff;
-        if (!m_available) {
-            m_available = true;
+        const bool hasChanges = !result.rows.empty();
+        const bool coalesced = result.coalesced;
+        setAvailable(result.sourceAvailable, "the instance that is followed does not reach the store");
+        m_version = std::max(m_version.value_or(0), result.version);
+        applyRows(std::move(result), completeRead);
+        if (!hasChanges || coalesced) {
+            return {};
+        }
+        // A result with changes soon after the last pause means that they occurred during that pause.
+        const bool changesContinue = m_lastChange && now - *m_lastChange < m_coalesceDelay + m_options.coalesceDelay;
+        m_coalesceDelay = changesContinue ? std::min(m_coalesceDelay * 2, m_options.maximumCoalesceDelay) : m_options.coalesceDelay;
+        m_lastChange = now;
+        return m_coalesceDelay;
+    }
+
+    void setAvailable(bool available, std::string_view detail)
+    {
+        if (available == m_available) {
+            return;
+        }
+        m_available = available;
+        if (available) {
             m_observer.storeRegained();
+        } else {
+            m_observer.storeLost(detail);
         }
-        m_version = result.version;
-        std::set<std::string> present;
-        for (const StoreRow &row : result.rows) {
-            if (!row.removed) {
-                m_keys.insert(row.key);
-                present.insert(row.key);
-            } else {
-                m_keys.erase(row.key);
+        if (changed) {
+            changed();
+        }
+    }
+
+    void applyRows(StoreResult result, bool completeRead)
+    {
+        const std::uint64_t before = m_copy.version();
+        std::exception_ptr fault; // one row that cannot be handled must not hide the others
+        for (const StoreRow &row : m_copy.apply(std::move(result.rows), result.version, completeRead)) {
+            try {
+                m_observer.rowChanged(row);
+            } catch (...) {
+                fault = std::current_exception();
             }
-            m_observer.rowChanged(row);
         }
         if (completeRead) {
-            for (const std::string &key : std::exchange(m_keys, present)) {
-                if (!present.contains(key)) {
-                    m_observer.rowChanged({key, {}, result.version, true});
-                }
-            }
             m_observer.tableRead();
         }
-        if (result.rows.empty()) {
-            return {};
+        if (changed && (completeRead || m_copy.version() != before)) {
+            changed();
+        }
+        if (fault) {
+            std::rethrow_exception(fault);
         }
-        // A result with changes soon after the last pause means that they occurred during that pause.
-        const bool changesContinue = m_lastChange && now - *m_lastChange < m_coalesceDelay + m_options.coalesceDelay;
-        m_coalesceDelay = changesContinue ? std::min(m_coalesceDelay * 2, m_options.maximumCoalesceDelay) : m_options.coalesceDelay;
-        m_lastChange = now;
-        return m_coalesceDelay;
     }
 
     boost::asio::awaitable<void> sleep(base::Duration duration)
@@ -178,7 +219,7 @@
     base::Duration m_coalesceDelay; ///< most recent pause after changes
     std::optional<base::TimePoint> m_lastChange;
     std::optional<std::uint64_t> m_version; ///< changes up to this version are known; none: the table must be read completely
-    std::set<std::string> m_keys; ///< keys of the rows known to exist
+    feed::TableCopy m_copy;
     bool m_available = false;
     bool m_stopped = false;
 };
--- a/src/daemon/peer_network.cpp
+++ b/src/daemon/peer_network.cpp
@@ -25,7 +25,9 @@
 /// A connection is closed after this time without a complete frame read or written; a frame of 1 MiB takes 0.1 s at 100 Mbit/s.
 constexpr base::Duration s_idleTimeout = std::chrono::seconds(2);
 
-constexpr std::size_t s_maximumConnections = 64; // accepted from peers; bounds the memory of their frames to 64 MiB
+/// Accepted from peers. The followers of a reader have two each, and a failure domain at the target size has some 60 instances. Frames
+/// that peers send are small, except for the parts of key tables.
+constexpr std::size_t s_maximumConnections = 256;
 constexpr std::size_t s_maximumDrainsBytes = 1U << 20U;
 
 } // namespace
@@ -33,6 +35,7 @@
 PeerNetwork::PeerNetwork(asio::io_context &context, const std::string &listenAddress, peer::CodecSettings codec, PeerNetworkHandlers handlers)
     : m_context(context)
     , m_codec(std::move(codec))
+    , m_feeds(context, m_codec)
     , m_handlers(std::move(handlers))
     , m_udp(context)
     , m_acceptor(context)
@@ -171,6 +174,10 @@
         serveDrains(connection, *request);
         return true;
     }
+    if (const auto *request = std::get_if<peer::FeedRequest>(&received->payload)) {
+        serveFeed(connection, *request);
+        return true;
+    }
     if (const auto *offered = std::get_if<peer::HandoffPart>(&received->payload)) {
         return handleHandoffPart(connection, *offered);
     }
@@ -233,6 +240,28 @@
     return connection;
 }
 
+void PeerNetwork::serveFeed(FrameConnection &connection, peer::FeedRequest request)
+{
+    if (!m_handlers.feedRequested) {
+        peer::FeedResponse refusal;
+        refusal.table = request.table;
+        connection.send(m_codec.encode(refusal));
+        return;
+    }
+    m_handlers.feedRequested(std::move(request), [this, weak = connection.weak_from_this()](const peer::FeedResponse &response) {
+        const auto open = weak.lock();
+        if (!open) {
+            return;
+        }
+        try {
+            open->send(m_codec.encode(response));
+        } catch (const peer::CodecError &error) {
+            log("peers", "Cannot send the changes of {}: {}", response.table, error.what());
+            open->close(); // the peer asks another reader, or the store
+        }
+    });
+}
+
 bool PeerNetwork::handleHandoffPart(FrameConnection &connection, const peer::HandoffPart &offered)
 {
     std::optional<idempotency::SealedPart> part = peer::decodeSealedPart(offered.part.bytes);
--- a/src/peer/gen/trefoilstile_types.cpp
+++ b/src/peer/gen/trefoilstile_types.cpp
@@ -4008,6 +4008,118 @@
 }
 
 
+TableVersion::~TableVersion() noexcept {
+}
+
+
+void TableVersion::__set_table(const std::string& val) {
+  this->table = val;
+}
+
+void TableVersion::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableVersion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableVersion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->table);
+          this->__isset.table = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TableVersion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TableVersion");
+
+  xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->table);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TableVersion &a, TableVersion &b) {
+  using ::std::swap;
+  swap(a.table, b.table);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+TableVersion::TableVersion(const TableVersion& other76) {
+  table = other76.table;
+  version = other76.version;
+  __isset = other76.__isset;
+}
+TableVersion& TableVersion::operator=(const TableVersion& other77) {
+  table = other77.table;
+  version = other77.version;
+  __isset = other77.__isset;
+  return *this;
+}
+void TableVersion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableVersion(";
+  out << "table=" << to_string(table);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 LoadReport::~LoadReport() noexcept {
 }
 
@@ -4015,6 +4127,18 @@
 void LoadReport::__set_loads(const std::vector<UpstreamLoad> & val) {
   this->loads = val;
 }
+
+void LoadReport::__set_leavingRuns(const std::vector<int64_t> & val) {
+  this->leavingRuns = val;
+}
+
+void LoadReport::__set_tables(const std::vector<TableVersion> & val) {
+  this->tables = val;
+}
+
+void LoadReport::__set_peerAddress(const std::string& val) {
+  this->peerAddress = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -4047,14 +4171,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->loads.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->loads.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->loads[_i80].read(iprot);
+              xfer += this->loads[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4063,6 +4187,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leavingRuns.clear();
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->leavingRuns.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
+            {
+              xfer += iprot->readI64(this->leavingRuns[_i87]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leavingRuns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tables.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->tables.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->tables[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tables = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peerAddress);
+          this->__isset.peerAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4083,15 +4255,43 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<UpstreamLoad> ::const_iterator _iter81;
-    for (_iter81 = this->loads.begin(); _iter81 != this->loads.end(); ++_iter81)
+    std::vector<UpstreamLoad> ::const_iterator _iter93;
+    for (_iter93 = this->loads.begin(); _iter93 != this->loads.end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leavingRuns", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leavingRuns.size()));
+    std::vector<int64_t> ::const_iterator _iter94;
+    for (_iter94 = this->leavingRuns.begin(); _iter94 != this->leavingRuns.end(); ++_iter94)
+    {
+      xfer += oprot->writeI64((*_iter94));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
+    std::vector<TableVersion> ::const_iterator _iter95;
+    for (_iter95 = this->tables.begin(); _iter95 != this->tables.end(); ++_iter95)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("peerAddress", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->peerAddress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4100,22 +4300,682 @@
 void swap(LoadReport &a, LoadReport &b) {
   using ::std::swap;
   swap(a.loads, b.loads);
+  swap(a.leavingRuns, b.leavingRuns);
+  swap(a.tables, b.tables);
+  swap(a.peerAddress, b.peerAddress);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other82) {
-  loads = other82.loads;
-  __isset = other82.__isset;
+LoadReport::LoadReport(const LoadReport& other96) {
+  loads = other96.loads;
+  leavingRuns = other96.leavingRuns;
+  tables = other96.tables;
+  peerAddress = other96.peerAddress;
+  __isset = other96.__isset;
 }
-LoadReport& LoadReport::operator=(const LoadReport& other83) {
-  loads = other83.loads;
-  __isset = other83.__isset;
+LoadReport& LoadReport::operator=(const LoadReport& other97) {
+  loads = other97.loads;
+  leavingRuns = other97.leavingRuns;
+  tables = other97.tables;
+  peerAddress = other97.peerAddress;
+  __isset = other97.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "LoadReport(";
   out << "loads=" << to_string(loads);
+  out << ", " << "leavingRuns=" << to_string(leavingRuns);
+  out << ", " << "tables=" << to_string(tables);
+  out << ", " << "peerAddress=" << to_string(peerAddress);
+  out << ")";
+}
+
+
+FeedRequest::~FeedRequest() noexcept {
+}
+
+
+void FeedRequest::__set_table(const std::string& val) {
+  this->table = val;
+}
+
+void FeedRequest::__set_after(const int64_t val) {
+  this->after = val;
+}
+
+void FeedRequest::__set_completeRead(const bool val) {
+  this->completeRead = val;
+}
+
+void FeedRequest::__set_waitMs(const int64_t val) {
+  this->waitMs = val;
+}
+
+void FeedRequest::__set_storeAvailable(const bool val) {
+  this->storeAvailable = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->table);
+          this->__isset.table = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after);
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->completeRead);
+          this->__isset.completeRead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeAvailable);
+          this->__isset.storeAvailable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedRequest");
+
+  xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->table);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->after);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("completeRead", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->completeRead);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeAvailable", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->storeAvailable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedRequest &a, FeedRequest &b) {
+  using ::std::swap;
+  swap(a.table, b.table);
+  swap(a.after, b.after);
+  swap(a.completeRead, b.completeRead);
+  swap(a.waitMs, b.waitMs);
+  swap(a.storeAvailable, b.storeAvailable);
+  swap(a.__isset, b.__isset);
+}
+
+FeedRequest::FeedRequest(const FeedRequest& other98) {
+  table = other98.table;
+  after = other98.after;
+  completeRead = other98.completeRead;
+  waitMs = other98.waitMs;
+  storeAvailable = other98.storeAvailable;
+  __isset = other98.__isset;
+}
+FeedRequest& FeedRequest::operator=(const FeedRequest& other99) {
+  table = other99.table;
+  after = other99.after;
+  completeRead = other99.completeRead;
+  waitMs = other99.waitMs;
+  storeAvailable = other99.storeAvailable;
+  __isset = other99.__isset;
+  return *this;
+}
+void FeedRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedRequest(";
+  out << "table=" << to_string(table);
+  out << ", " << "after=" << to_string(after);
+  out << ", " << "completeRead=" << to_string(completeRead);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "storeAvailable=" << to_string(storeAvailable);
+  out << ")";
+}
+
+
+FeedRow::~FeedRow() noexcept {
+}
+
+
+void FeedRow::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void FeedRow::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void FeedRow::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FeedRow::__set_removed(const bool val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedRow");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedRow &a, FeedRow &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+FeedRow::FeedRow(const FeedRow& other100) {
+  key = other100.key;
+  value = other100.value;
+  version = other100.version;
+  removed = other100.removed;
+  __isset = other100.__isset;
+}
+FeedRow& FeedRow::operator=(const FeedRow& other101) {
+  key = other101.key;
+  value = other101.value;
+  version = other101.version;
+  removed = other101.removed;
+  __isset = other101.__isset;
+  return *this;
+}
+void FeedRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedRow(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
+FeedResponse::~FeedResponse() noexcept {
+}
+
+
+void FeedResponse::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void FeedResponse::__set_table(const std::string& val) {
+  this->table = val;
+}
+
+void FeedResponse::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FeedResponse::__set_more(const bool val) {
+  this->more = val;
+}
+
+void FeedResponse::__set_storeAvailable(const bool val) {
+  this->storeAvailable = val;
+}
+
+void FeedResponse::__set_rows(const std::string& val) {
+  this->rows = val;
+}
+
+void FeedResponse::__set_rowsBytes(const int32_t val) {
+  this->rowsBytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedResponse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedResponse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->table);
+          this->__isset.table = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->more);
+          this->__isset.more = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeAvailable);
+          this->__isset.storeAvailable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->rows);
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rowsBytes);
+          this->__isset.rowsBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedResponse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedResponse");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->table);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("more", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->more);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeAvailable", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->storeAvailable);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->rows);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rowsBytes", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->rowsBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedResponse &a, FeedResponse &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.table, b.table);
+  swap(a.version, b.version);
+  swap(a.more, b.more);
+  swap(a.storeAvailable, b.storeAvailable);
+  swap(a.rows, b.rows);
+  swap(a.rowsBytes, b.rowsBytes);
+  swap(a.__isset, b.__isset);
+}
+
+FeedResponse::FeedResponse(const FeedResponse& other102) {
+  status = other102.status;
+  table = other102.table;
+  version = other102.version;
+  more = other102.more;
+  storeAvailable = other102.storeAvailable;
+  rows = other102.rows;
+  rowsBytes = other102.rowsBytes;
+  __isset = other102.__isset;
+}
+FeedResponse& FeedResponse::operator=(const FeedResponse& other103) {
+  status = other103.status;
+  table = other103.table;
+  version = other103.version;
+  more = other103.more;
+  storeAvailable = other103.storeAvailable;
+  rows = other103.rows;
+  rowsBytes = other103.rowsBytes;
+  __isset = other103.__isset;
+  return *this;
+}
+void FeedResponse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedResponse(";
+  out << "status=" << to_string(status);
+  out << ", " << "table=" << to_string(table);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "more=" << to_string(more);
+  out << ", " << "storeAvailable=" << to_string(storeAvailable);
+  out << ", " << "rows=" << to_string(rows);
+  out << ", " << "rowsBytes=" << to_string(rowsBytes);
+  out << ")";
+}
+
+
+FeedRows::~FeedRows() noexcept {
+}
+
+
+void FeedRows::__set_rows(const std::vector<FeedRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const FeedRows& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FeedRows::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->rows.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += this->rows[_i108].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FeedRows::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FeedRows");
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<FeedRow> ::const_iterator _iter109;
+    for (_iter109 = this->rows.begin(); _iter109 != this->rows.end(); ++_iter109)
+    {
+      xfer += (*_iter109).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FeedRows &a, FeedRows &b) {
+  using ::std::swap;
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+FeedRows::FeedRows(const FeedRows& other110) {
+  rows = other110.rows;
+  __isset = other110.__isset;
+}
+FeedRows& FeedRows::operator=(const FeedRows& other111) {
+  rows = other111.rows;
+  __isset = other111.__isset;
+  return *this;
+}
+void FeedRows::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FeedRows(";
+  out << "rows=" << to_string(rows);
   out << ")";
 }
 
--- a/src/peer/gen/trefoilstile_types.h
+++ b/src/peer/gen/trefoilstile_types.h
@@ -73,8 +73,18 @@
 
 class UpstreamLoad;
 
+class TableVersion;
+
 class LoadReport;
 
+class FeedRequest;
+
+class FeedRow;
+
+class FeedResponse;
+
+class FeedRows;
+
 typedef struct _Envelope__isset {
   _Envelope__isset() : version(false), environment(false), sender(false), incarnation(false), sequence(false), kind(false), payload(false), mac(false) {}
   bool version :1;
@@ -1711,9 +1721,62 @@
 
 std::ostream& operator<<(std::ostream& out, const UpstreamLoad& obj);
 
+typedef struct _TableVersion__isset {
+  _TableVersion__isset() : table(false), version(false) {}
+  bool table :1;
+  bool version :1;
+} _TableVersion__isset;
+
+class TableVersion : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableVersion(const TableVersion&);
+  TableVersion& operator=(const TableVersion&);
+  TableVersion() noexcept
+               : table(),
+                 version(0) {
+  }
+
+  virtual ~TableVersion() noexcept;
+  std::string table;
+  int64_t version;
+
+  _TableVersion__isset __isset;
+
+  void __set_table(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const TableVersion & rhs) const
+  {
+    if (!(table == rhs.table))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const TableVersion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableVersion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableVersion &a, TableVersion &b);
+
+std::ostream& operator<<(std::ostream& out, const TableVersion& obj);
+
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : loads(false) {}
+  _LoadReport__isset() : loads(false), leavingRuns(false), tables(false), peerAddress(false) {}
   bool loads :1;
+  bool leavingRuns :1;
+  bool tables :1;
+  bool peerAddress :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1721,20 +1784,36 @@
 
   LoadReport(const LoadReport&);
   LoadReport& operator=(const LoadReport&);
-  LoadReport() noexcept {
+  LoadReport() noexcept
+             : peerAddress() {
   }
 
   virtual ~LoadReport() noexcept;
   std::vector<UpstreamLoad>  loads;
+  std::vector<int64_t>  leavingRuns;
+  std::vector<TableVersion>  tables;
+  std::string peerAddress;
 
   _LoadReport__isset __isset;
 
   void __set_loads(const std::vector<UpstreamLoad> & val);
 
+  void __set_leavingRuns(const std::vector<int64_t> & val);
+
+  void __set_tables(const std::vector<TableVersion> & val);
+
+  void __set_peerAddress(const std::string& val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(loads == rhs.loads))
       return false;
+    if (!(leavingRuns == rhs.leavingRuns))
+      return false;
+    if (!(tables == rhs.tables))
+      return false;
+    if (!(peerAddress == rhs.peerAddress))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
@@ -1753,6 +1832,268 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
+typedef struct _FeedRequest__isset {
+  _FeedRequest__isset() : table(false), after(false), completeRead(false), waitMs(false), storeAvailable(false) {}
+  bool table :1;
+  bool after :1;
+  bool completeRead :1;
+  bool waitMs :1;
+  bool storeAvailable :1;
+} _FeedRequest__isset;
+
+class FeedRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedRequest(const FeedRequest&);
+  FeedRequest& operator=(const FeedRequest&);
+  FeedRequest() noexcept
+              : table(),
+                after(0),
+                completeRead(0),
+                waitMs(0),
+                storeAvailable(0) {
+  }
+
+  virtual ~FeedRequest() noexcept;
+  std::string table;
+  int64_t after;
+  bool completeRead;
+  int64_t waitMs;
+  bool storeAvailable;
+
+  _FeedRequest__isset __isset;
+
+  void __set_table(const std::string& val);
+
+  void __set_after(const int64_t val);
+
+  void __set_completeRead(const bool val);
+
+  void __set_waitMs(const int64_t val);
+
+  void __set_storeAvailable(const bool val);
+
+  bool operator == (const FeedRequest & rhs) const
+  {
+    if (!(table == rhs.table))
+      return false;
+    if (!(after == rhs.after))
+      return false;
+    if (!(completeRead == rhs.completeRead))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    if (!(storeAvailable == rhs.storeAvailable))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedRequest &a, FeedRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedRequest& obj);
+
+typedef struct _FeedRow__isset {
+  _FeedRow__isset() : key(false), value(false), version(false), removed(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+  bool removed :1;
+} _FeedRow__isset;
+
+class FeedRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedRow(const FeedRow&);
+  FeedRow& operator=(const FeedRow&);
+  FeedRow() noexcept
+          : key(),
+            value(),
+            version(0),
+            removed(0) {
+  }
+
+  virtual ~FeedRow() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+  bool removed;
+
+  _FeedRow__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  bool operator == (const FeedRow & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedRow &a, FeedRow &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedRow& obj);
+
+typedef struct _FeedResponse__isset {
+  _FeedResponse__isset() : status(false), table(false), version(false), more(false), storeAvailable(false), rows(false), rowsBytes(false) {}
+  bool status :1;
+  bool table :1;
+  bool version :1;
+  bool more :1;
+  bool storeAvailable :1;
+  bool rows :1;
+  bool rowsBytes :1;
+} _FeedResponse__isset;
+
+class FeedResponse : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedResponse(const FeedResponse&);
+  FeedResponse& operator=(const FeedResponse&);
+  FeedResponse() noexcept
+               : status(0),
+                 table(),
+                 version(0),
+                 more(0),
+                 storeAvailable(0),
+                 rows(),
+                 rowsBytes(0) {
+  }
+
+  virtual ~FeedResponse() noexcept;
+  int32_t status;
+  std::string table;
+  int64_t version;
+  bool more;
+  bool storeAvailable;
+  std::string rows;
+  int32_t rowsBytes;
+
+  _FeedResponse__isset __isset;
+
+  void __set_status(const int32_t val);
+
+  void __set_table(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_more(const bool val);
+
+  void __set_storeAvailable(const bool val);
+
+  void __set_rows(const std::string& val);
+
+  void __set_rowsBytes(const int32_t val);
+
+  bool operator == (const FeedResponse & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(table == rhs.table))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(more == rhs.more))
+      return false;
+    if (!(storeAvailable == rhs.storeAvailable))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    if (!(rowsBytes == rhs.rowsBytes))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedResponse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedResponse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedResponse &a, FeedResponse &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedResponse& obj);
+
+typedef struct _FeedRows__isset {
+  _FeedRows__isset() : rows(false) {}
+  bool rows :1;
+} _FeedRows__isset;
+
+class FeedRows : public virtual ::apache::thrift::TBase {
+ public:
+
+  FeedRows(const FeedRows&);
+  FeedRows& operator=(const FeedRows&);
+  FeedRows() noexcept {
+  }
+
+  virtual ~FeedRows() noexcept;
+  std::vector<FeedRow>  rows;
+
+  _FeedRows__isset __isset;
+
+  void __set_rows(const std::vector<FeedRow> & val);
+
+  bool operator == (const FeedRows & rhs) const
+  {
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const FeedRows &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FeedRows & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FeedRows &a, FeedRows &b);
+
+std::ostream& operator<<(std::ostream& out, const FeedRows& obj);
+
 }}} // namespace
 
 #endif
--- a/src/peer/generators.hpp
+++ b/src/peer/generators.hpp
@@ -103,7 +103,17 @@
         LoanReturn{anyNumber()},
         LoanAck{anyNumber()},
         CapacityAdvertisement{text(), nonNegativeNumber(), duration(), {{text(), nonNegativeNumber()}, {text(), nonNegativeNumber()}}},
-        LoadReport{{{anyNumber(), smallNumber(), smallNumber(), duration()}, {anyNumber(), smallNumber(), smallNumber(), duration()}}}};
+        LoadReport{{{anyNumber(), smallNumber(), smallNumber(), duration()}, {anyNumber(), smallNumber(), smallNumber(), duration()}},
+            {anyNumber(), anyNumber()},
+            {{text(), nonNegativeNumber()}},
+            text()},
+        FeedRequest{text(), nonNegativeNumber(), true, duration(), false},
+        FeedResponse{FeedStatus::Changes,
+            text(),
+            nonNegativeNumber(),
+            true,
+            true,
+            {{text(), text(), nonNegativeNumber(), false}, {text(), std::string(5'000, 'x'), nonNegativeNumber(), true}}}};
 }
 
 } // namespace trefoilstile::peer::testing
--- a/src/peer/payload.cpp
+++ b/src/peer/payload.cpp
@@ -34,6 +34,8 @@
     {"loan_ack", Channel::Datagram},
     {"capacity_advertisement", Channel::Datagram},
     {"load_report", Channel::Datagram},
+    {"feed_request", Channel::Frame},
+    {"feed_response", Channel::Frame},
 }};
 
 } // namespace
--- a/src/peer/translate.hpp
+++ b/src/peer/translate.hpp
@@ -99,6 +99,8 @@
 wire::LoanAck toWire(const LoanAck &value);
 wire::CapacityAdvertisement toWire(const CapacityAdvertisement &value);
 wire::LoadReport toWire(const LoadReport &value);
+wire::FeedRequest toWire(const FeedRequest &value);
+wire::FeedResponse toWire(const FeedResponse &value);
 
 membership::Probe fromWire(const wire::Probe &value);
 membership::Ack fromWire(const wire::Ack &value);
@@ -117,5 +119,7 @@
 LoanAck fromWire(const wire::LoanAck &value);
 CapacityAdvertisement fromWire(const wire::CapacityAdvertisement &value);
 LoadReport fromWire(const wire::LoadReport &value);
+FeedRequest fromWire(const wire::FeedRequest &value);
+FeedResponse fromWire(const wire::FeedResponse &value);
 
 } // namespace trefoilstile::peer
--- a/src/peer/translate_transfers.cpp
+++ b/src/peer/translate_transfers.cpp
@@ -1,5 +1,8 @@
 // Translation of fetches, handoffs, loans, capacity advertisements and load reports to and from Thrift structs.
 
+#include <utility>
+
+#include "compression.hpp"
 #include "translate.hpp"
 
 namespace trefoilstile::peer
@@ -8,6 +11,9 @@
 namespace
 {
 
+/// Maximum number of rows of a feed response; senders put fewer into one, see `feed::TableCopyOptions`.
+constexpr std::int32_t s_maximumFeedRows = 8'192;
+
 wire::Part toWire(const Part &value)
 {
     wire::Part out;
@@ -225,6 +231,16 @@
         entry.ageMs = static_cast<std::int32_t>(millisecondsToWire(load.age));
         out.loads.push_back(entry);
     }
+    for (const std::uint64_t run : value.leavingRuns) {
+        out.leavingRuns.push_back(bitsToWire(run));
+    }
+    for (const TableVersion &table : value.tables) {
+        wire::TableVersion entry;
+        entry.table = table.table;
+        entry.version = bitsToWire(table.version);
+        out.tables.push_back(entry);
+    }
+    out.peerAddress = value.peerAddress;
     return out;
 }
 
@@ -237,6 +253,74 @@
             checkedNumber<std::uint32_t>(load.slots),
             durationFromWire(load.ageMs)});
     }
+    for (const std::int64_t run : value.leavingRuns) {
+        out.leavingRuns.push_back(bitsFromWire(run));
+    }
+    for (const wire::TableVersion &table : value.tables) {
+        out.tables.push_back({checkedText(table.table), checkedNumber<std::uint64_t>(table.version)});
+    }
+    out.peerAddress = checkedText(value.peerAddress);
+    return out;
+}
+
+wire::FeedRequest toWire(const FeedRequest &value)
+{
+    wire::FeedRequest out;
+    out.table = value.table;
+    out.after = bitsToWire(value.after);
+    out.completeRead = value.completeRead;
+    out.waitMs = millisecondsToWire(value.wait);
+    out.storeAvailable = value.storeAvailable;
+    return out;
+}
+
+FeedRequest fromWire(const wire::FeedRequest &value)
+{
+    return {checkedText(value.table), checkedNumber<std::uint64_t>(value.after), value.completeRead, durationFromWire(value.waitMs), value.storeAvailable};
+}
+
+wire::FeedResponse toWire(const FeedResponse &value)
+{
+    wire::FeedResponse out;
+    out.status = static_cast<std::int32_t>(value.status);
+    out.table = value.table;
+    out.version = bitsToWire(value.version);
+    out.more = value.more;
+    out.storeAvailable = value.storeAvailable;
+    wire::FeedRows list;
+    list.rows.reserve(value.rows.size());
+    for (const FeedRow &row : value.rows) {
+        wire::FeedRow entry;
+        entry.key = row.key;
+        entry.value = row.value;
+        entry.version = bitsToWire(row.version);
+        entry.removed = row.removed;
+        list.rows.push_back(std::move(entry));
+    }
+    out.rows = toCompact(list);
+    out.rowsBytes = 0;
+    if (out.rows.size() >= s_minimumCompressedBytes) {
+        out.rowsBytes = static_cast<std::int32_t>(out.rows.size());
+        out.rows = compressed(out.rows);
+    }
+    return out;
+}
+
+FeedResponse fromWire(const wire::FeedResponse &value)
+{
+    FeedResponse out;
+    out.status = checkedEnum(value.status, FeedStatus::NotReady);
+    out.table = checkedText(value.table);
+    out.version = checkedNumber<std::uint64_t>(value.version);
+    out.more = value.more;
+    out.storeAvailable = value.storeAvailable;
+    const bool isCompressed = value.rowsBytes != 0;
+    const auto list = fromCompact<wire::FeedRows>(isCompressed ? decompressed(value.rows, value.rowsBytes) : value.rows, s_maximumFeedRows);
+    out.rows.reserve(list.rows.size());
+    for (const wire::FeedRow &row : list.rows) {
+        // The size of the frame limits keys and values.
+        out.rows.push_back({row.key, row.value, checkedNumber<std::uint64_t>(row.version), row.removed});
+    }
     return out;
 }
 
--- a/src/peer/trefoilstile.thrift
+++ b/src/peer/trefoilstile.thrift
@@ -182,6 +182,44 @@
   4: i32 ageMs
 }
 
+struct TableVersion {
+  1: string table
+  2: i64 version
+}
+
 struct LoadReport {
   1: list<UpstreamLoad> loads
+  2: list<i64> leavingRuns
+  3: list<TableVersion> tables
+  4: string peerAddress
+}
+
+struct FeedRequest {
+  1: string table
+  2: i64 after
+  3: bool completeRead
+  4: i64 waitMs
+  5: bool storeAvailable
+}
+
+struct FeedRow {
+  1: string key
+  2: binary value
+  3: i64 version
+  4: bool removed
+}
+
+struct FeedResponse {
+  1: i32 status
+  2: string table
+  3: i64 version
+  4: bool more
+  5: bool storeAvailable
+  6: binary rows
+  7: i32 rowsBytes
+}
+
+// Content of FeedResponse.rows: compressed with zlib if rowsBytes, its size before, is not 0.
+struct FeedRows {
+  1: list<FeedRow> rows
 }
--- /dev/null
+++ b/src/proxy/feed_server_test.cpp
@@ -0,0 +1,163 @@
+// Tests of the answers to other instances that follow this one.
+
+#include "trefoilstile/proxy/feed_server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace trefoilstile::proxy
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::TimePoint s_start = base::TimePoint(100s);
+
+/// Server of one table, and the responses that it has sent.
+struct ServerFixture {
+    ServerFixture()
+    {
+        copy.apply({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5, true);
+        server.addTable("servers",
+            {copy,
+                [this] {
+                    return readsStore;
+                },
+                [this] {
+                    return storeAvailable;
+                }});
+    }
+
+    void ask(std::uint64_t after, base::Duration wait, bool believesAvailable = true)
+    {
+        peer::FeedRequest request{"servers", after, false, wait, believesAvailable};
+        server.handle(
+            request,
+            [this](peer::FeedResponse response) {
+                responses.push_back(std::move(response));
+            },
+            s_start);
+    }
+
+    feed::TableCopy copy;
+    bool readsStore = true;
+    bool storeAvailable = true;
+    FeedServer server;
+    std::vector<peer::FeedResponse> responses;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FeedServerSuite)
+
+// Guards against a change that a waiting follower gets only at the end of its wait, and against an answer for nothing.
+BOOST_AUTO_TEST_CASE(waitingFollowerGetsTheChangeAtOnce)
+{
+    ServerFixture fixture;
+    fixture.ask(5, 600ms);
+    fixture.server.tableChanged("servers");
+    BOOST_TEST(fixture.responses.empty());
+    fixture.copy.apply({{"a", "2", 8, false}}, 8, false);
+    fixture.server.tableChanged("servers");
+    BOOST_REQUIRE(fixture.responses.size() == 1U);
+    BOOST_TEST(fixture.responses[0].rows.size() == 1U);
+    BOOST_TEST(fixture.responses[0].version == 8U);
+    fixture.server.advance(s_start + 10s);
+    BOOST_TEST(fixture.responses.size() == 1U);
+}
+
+// Guards against a follower that cannot tell a reader without news from one that has stopped.
+BOOST_AUTO_TEST_CASE(answerComesAtTheEndOfTheWait)
+{
+    ServerFixture fixture;
+    fixture.ask(5, 600ms);
+    fixture.server.advance(s_start + 599ms);
+    BOOST_TEST(fixture.responses.empty());
+    fixture.server.advance(s_start + 600ms);
+    BOOST_REQUIRE(fixture.responses.size() == 1U);
+    BOOST_TEST((fixture.responses[0].status == peer::FeedStatus::Changes));
+    BOOST_TEST(fixture.server.waiting() == 0U);
+}
+
+// Guards against instances that follow each other in a circle, without any of them reading the store.
+BOOST_AUTO_TEST_CASE(instanceThatDoesNotReadTheStoreIsNotFollowed)
+{
+    ServerFixture fixture;
+    fixture.readsStore = false;
+    fixture.ask(5, 600ms);
+    BOOST_REQUIRE(fixture.responses.size() == 1U);
+    BOOST_TEST((fixture.responses[0].status == peer::FeedStatus::NotReader));
+    fixture.ask(3, 0ms); // a single question, to catch up or at the start
+    BOOST_TEST((fixture.responses[1].status == peer::FeedStatus::Changes));
+    BOOST_TEST(fixture.responses[1].rows.size() == 1U);
+    fixture.readsStore = true;
+    fixture.ask(5, 600ms);
+    fixture.readsStore = false;
+    fixture.server.advance(s_start + 600ms);
+    BOOST_TEST((fixture.responses[2].status == peer::FeedStatus::NotReader));
+}
+
+// Guards against followers that learn of an outage of the store, or of its end, with the next change only.
+BOOST_AUTO_TEST_CASE(availabilityOfTheStoreIsNews)
+{
+    ServerFixture fixture;
+    fixture.ask(5, 600ms);
+    fixture.storeAvailable = false;
+    fixture.server.tableChanged("servers");
+    BOOST_REQUIRE(fixture.responses.size() == 1U);
+    BOOST_TEST(!fixture.responses[0].storeAvailable);
+    fixture.ask(5, 600ms, false);
+    BOOST_TEST(fixture.responses.size() == 1U);
+}
+
+// Guards against an empty table that is passed on as a complete one, and against an unknown table.
+BOOST_AUTO_TEST_CASE(incompleteAndUnknownTablesAreNotServed)
+{
+    ServerFixture fixture;
+    fixture.copy = feed::TableCopy();
+    fixture.ask(0, 0ms);
+    BOOST_REQUIRE(fixture.responses.size() == 1U);
+    BOOST_TEST((fixture.responses[0].status == peer::FeedStatus::NotReady));
+    fixture.server.handle(
+        {"other", 0, false, 0ms, true},
+        [&fixture](peer::FeedResponse response) {
+            fixture.responses.push_back(std::move(response));
+        },
+        s_start);
+    BOOST_TEST((fixture.responses[1].status == peer::FeedStatus::NotReader));
+}
+
+// Guards against requests that are held back without limit.
+BOOST_AUTO_TEST_CASE(waitingRequestsAreBounded)
+{
+    ServerFixture fixture;
+    FeedServerOptions options;
+    options.maximumWaiting = 2;
+    FeedServer server(options);
+    server.addTable("servers",
+        {fixture.copy,
+            [] {
+                return true;
+            },
+            [] {
+                return true;
+            }});
+    int refused = 0;
+    for (int i = 0; i < 5; ++i) {
+        server.handle(
+            {"servers", 5, false, 1h, true},
+            [&refused](const peer::FeedResponse &response) {
+                refused += response.status == peer::FeedStatus::NotReader ? 1 : 0;
+            },
+            s_start);
+    }
+    BOOST_TEST(server.waiting() == 2U);
+    BOOST_TEST(refused == 3);
+    server.advance(s_start + options.maximumWait);
+    BOOST_TEST(server.waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace trefoilstile::proxy
--- a/src/proxy/member_link.cpp
+++ b/src/proxy/member_link.cpp
@@ -1,10 +1,15 @@
-// Passes messages between the failure detector and the peer network, and exchanges load reports.
+// Passes messages between the failure detector and the peer network, and exchanges reports and changes of tables.
 
 #include "trefoilstile/proxy/member_link.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "trefoilstile/http/clock.hpp"
 
 namespace trefoilstile::proxy
@@ -21,6 +26,34 @@
 /// others, regardless of the size of the failure domain.
 constexpr std::size_t s_reportFanout = 8;
 
+peer::LoadReport toPeer(const FleetReport &report)
+{
+    peer::LoadReport result;
+    for (const ingress::LoadObservation &load : report.loads) {
+        result.loads.push_back({load.upstream, load.busy, load.slots, load.age});
+    }
+    result.leavingRuns = report.leavingRuns;
+    for (const KnownTable &table : report.tables) {
+        result.tables.push_back({table.table, table.lastChange});
+    }
+    result.peerAddress = report.peerAddress;
+    return result;
+}
+
+FleetReport fromPeer(const peer::LoadReport &report)
+{
+    FleetReport result;
+    for (const peer::UpstreamLoad &load : report.loads) {
+        result.loads.push_back({load.upstream, load.busy, load.slots, load.age});
+    }
+    result.leavingRuns = report.leavingRuns;
+    for (const peer::TableVersion &table : report.tables) {
+        result.tables.push_back({table.table, table.version});
+    }
+    result.peerAddress = report.peerAddress;
+    return result;
+}
+
 } // namespace
 
 MemberLink::MemberLink(boost::asio::io_context &context,
@@ -29,8 +62,10 @@
     base::IncarnationId incarnation,
     const std::vector<std::string> &seeds,
     std::uint64_t seed)
-    : m_self(incarnation)
+    : m_context(context)
+    , m_self(incarnation)
     , m_domain(settings.failureDomain)
+    , m_address(settings.peerAddress)
     , m_random(seed)
     , m_network(context, settings.peerAddress, {std::move(key), s_environment, settings.name, incarnation}, handlers())
     , m_detector({}, incarnation, {settings.name, settings.callerAddress, settings.peerAddress, settings.region, settings.failureDomain}, seeds, m_random)
@@ -52,10 +87,15 @@
         m_network.replyToOffer(ticket, false, false);
     };
     handlers.loadsReported = [this](const peer::LoadReport &report) {
-        for (const peer::UpstreamLoad &load : report.loads) {
-            if (loadReported) {
-                loadReported({load.upstream, load.busy, load.slots, load.age});
-            }
+        if (reportReceived) {
+            reportReceived(fromPeer(report));
+        }
+    };
+    handlers.feedRequested = [this](peer::FeedRequest request, FeedServer::Reply reply) {
+        if (feedRequested) {
+            feedRequested(std::move(request), std::move(reply));
+        } else {
+            reply({});
         }
     };
     return handlers;
@@ -94,24 +134,77 @@
     }));
 }
 
-void MemberLink::reportLoads(const std::vector<ingress::LoadObservation> &observations)
+void MemberLink::sendReport(const FleetReport &report)
 {
-    if (observations.empty()) {
-        return;
-    }
     std::vector<std::string> addresses;
     for (const auto &[incarnation, member] : m_detector.table().entries()) {
         if (incarnation != m_self && member.isAlive() && member.info.failureDomain == m_domain) {
             addresses.push_back(member.info.peerAddress);
         }
     }
-    peer::LoadReport report;
-    for (const ingress::LoadObservation &load : observations) {
-        report.loads.push_back({load.upstream, load.busy, load.slots, load.age});
-    }
+    peer::LoadReport message = toPeer(report);
+    message.peerAddress = m_address;
     for (const std::string &address : membership::sample(std::move(addresses), s_reportFanout, m_random)) {
-        m_network.send(address, report);
+        m_network.send(address, message);
+    }
+}
+
+void MemberLink::sendReportToOtherDomains(const FleetReport &report, base::TimePoint now)
+{
+    std::map<std::string, std::vector<std::string>> contacts; // addresses by failure domain
+    for (const auto &[incarnation, member] : m_detector.table().entries()) {
+        if (member.isAlive() && member.info.failureDomain != m_domain) {
+            contacts[member.info.failureDomain].push_back(member.info.peerAddress);
+        }
+    }
+    // In a large system the members of other failure domains are not known individually, but the summaries name their relays.
+    for (const membership::DomainSummary &summary : m_detector.summaries(now)) {
+        for (const membership::RelayAddress &relay : summary.relays) {
+            contacts[summary.failureDomain].push_back(relay.peerAddress);
+        }
+    }
+    peer::LoadReport message = toPeer(report);
+    message.peerAddress = m_address;
+    for (auto &[domain, addresses] : contacts) {
+        for (const std::string &address : membership::sample(std::move(addresses), 1, m_random)) {
+            m_network.send(address, message);
+        }
+    }
+}
+
+std::vector<feed::ReaderCandidate> MemberLink::readerCandidates() const
+{
+    std::vector<feed::ReaderCandidate> candidates;
+    for (const auto &[incarnation, member] : m_detector.table().entries()) {
+        if (member.isAlive() && !member.isLeaving() && member.info.failureDomain == m_domain) {
+            candidates.push_back({member.info.name, member.info.peerAddress});
+        }
+    }
+    return candidates;
+}
+
+boost::asio::awaitable<std::optional<peer::FeedResponse>> MemberLink::requestFeed(std::string address, peer::FeedRequest request, base::Duration timeout)
+{
+    struct Pending {
+        explicit Pending(boost::asio::io_context &context)
+            : timer(context, std::chrono::steady_clock::time_point::max())
+        {
+        }
+        boost::asio::steady_timer timer; ///< cancelled when the result is known
+        std::optional<peer::FeedResponse> response;
+        bool ended = false;
+    };
+    const auto pending = std::make_shared<Pending>(m_context);
+    m_network.requestFeed(address, std::move(request), timeout, [pending](std::optional<peer::FeedResponse> response) {
+        pending->response = std::move(response);
+        pending->ended = true;
+        pending->timer.cancel();
+    });
+    while (!pending->ended) {
+        boost::system::error_code ignored;
+        co_await pending->timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     }
+    co_return std::move(pending->response);
 }
 
 void MemberLink::send(membership::Outgoing outgoing)
--- a/tests/process/program.hpp
+++ b/tests/process/program.hpp
@@ -56,6 +56,12 @@
 
     bool running();
 
+    /// Process id; valid until the end of the program has been waited for.
+    pid_t pid() const
+    {
+        return m_pid;
+    }
+
     std::string output() const;
 
     /// What the program wrote to standard error.
