Let restarted instances join without a write, and tolerate a failed call

Change: an instance whose row is in the register only reads. At the first start of the whole system all write, wait a second and then read, so that they choose the same readers at once. A follower leaves a reader without the store after half a second. An instance that knows no other member searches the register again. The platform concept and the register have files of their own.

--- a/include/trefoilstile/feed/source_policy.hpp
+++ b/include/trefoilstile/feed/source_policy.hpp
@@ -24,6 +24,7 @@
     base::Duration startPoll = std::chrono::milliseconds(50); ///< pause between two questions for a source during the start
     base::Duration initialPause = std::chrono::milliseconds(500); ///< during which a reader that failed is not asked; doubles with each failure
     base::Duration maximumPause = std::chrono::seconds(4);
+    base::Duration outageTolerance = std::chrono::milliseconds(500); ///< time without the store after which a reader is left; above its pause after a failure
     base::Duration notReadyPause = std::chrono::milliseconds(100); ///< a reader that starts has the table after some calls to the store
     /// During which an instance that is no reader does not ask the store after a failure. In an outage the readers notice its end.
     base::Duration storePause = std::chrono::seconds(3);
@@ -77,7 +78,7 @@
     /// Records that a reader has started and does not have the table yet.
     void notReady(const std::string &address, base::TimePoint now);
 
-    /// Records that a reader answered but does not reach the store.
+    /// Records that a reader answered but does not reach the store. It is left if that lasts, since a single call may fail.
     void withoutStore(const std::string &address, base::TimePoint now);
 
     /// Records that a call to the store failed.
@@ -111,6 +112,7 @@
     std::map<std::string, Failure> m_failures; ///< by address; only of readers in `m_others`
     std::optional<base::TimePoint> m_startedAt;
     base::TimePoint m_storePausedUntil;
+    std::optional<base::TimePoint> m_withoutStoreSince; ///< first answer of the followed reader that lacked the store
     base::SplitMix64 m_random;
 };
 
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -28,38 +28,14 @@
 #include "trefoilstile/ingress/entry_list.hpp"
 #include "trefoilstile/proxy/activity.hpp"
 #include "trefoilstile/proxy/caller_listener.hpp"
+#include "trefoilstile/proxy/fleet_register.hpp"
 #include "trefoilstile/proxy/followed_table.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
-#include "trefoilstile/proxy/registration.hpp"
+#include "trefoilstile/proxy/platform_adapter.hpp"
 
 namespace trefoilstile::proxy
 {
 
-/// Request of a caller for the addresses of entry instances; the fields are the caller's location.
-struct EntryLookup {
-    std::string region;
-    std::string failureDomain;
-};
-
-/// Interface of a platform adapter.
-// clang-format off
-template<typename T>
-concept PlatformAdapter = RowStore<typename T::Store> && requires(std::string_view text, const StoreRow &row, const std::vector<std::string> &addresses, base::Duration lifetime)
-{
-    { T::headerNames() } -> std::same_as<HeaderNames>;
-    { T::operatorTable() } -> std::convertible_to<std::string>;
-    { T::upstreamTable() } -> std::convertible_to<std::string>;
-    { T::lookupPath() } -> std::convertible_to<std::string>;
-    { T::readinessPath() } -> std::convertible_to<std::string>;
-    { T::isConfiguration(text) } -> std::same_as<bool>; ///< whether an operator row with this key holds the configuration
-    { T::evacuatedDomain(text) } -> std::same_as<std::optional<std::string>>; ///< failure domain that an operator row with this key evacuates
-    { T::decodeConfiguration(text) } -> std::same_as<ingress::Configuration>; ///< throws `base::Error`
-    { T::decodeUpstream(row) } -> std::same_as<ingress::UpstreamReport>; ///< throws `base::Error`
-    { T::decodeLookup(text) } -> std::same_as<EntryLookup>; ///< from the query string of a lookup
-    { T::encodeEntries(addresses, lifetime) } -> std::same_as<std::string>; ///< body of the response to a lookup
-};
-// clang-format on
-
 template<PlatformAdapter Platform>
 class EntryProcess
 {
@@ -68,6 +44,7 @@
         : m_seed(std::random_device{}() + (static_cast<std::uint64_t>(std::random_device{}()) << 32U))
         , m_core(context, std::move(settings), Platform::headerNames(), m_seed)
         , m_store(context, m_core.settings.storeAddress)
+        , m_register(m_core, m_store)
         , m_operator(m_core, m_store, OperatorObserver{*this}, Platform::operatorTable(), feedCall(), TableWatchOptions())
         , m_upstreams(m_core, m_store, UpstreamObserver{*this}, Platform::upstreamTable(), feedCall(), watchOptions(m_core.settings.leavingBound))
         , m_incarnation{m_core.random.next()}
@@ -126,11 +103,9 @@
     static constexpr base::Duration s_requestTimeout = std::chrono::seconds(10);
     static constexpr std::size_t s_lookupConnections = 512; ///< for each of the lookup, readiness and metrics servers
 
-    /// Tables that the entry processes maintain themselves. The peer key authenticates messages between instances; any process
-    /// that may write to the store can join.
-    static constexpr const char *s_keyTable = "trefoilstile-keys";
-    static constexpr const char *s_keyRow = "peer-key";
-    static constexpr const char *s_memberTable = "trefoilstile-members";
+    /// Pause between two searches of the register by an instance that knows no other, the shortest and the longest.
+    static constexpr base::Duration s_searchPause = std::chrono::seconds(3);
+    static constexpr base::Duration s_maximumSearchPause = std::chrono::minutes(1);
 
     struct OperatorObserver {
         EntryProcess &process;
@@ -326,62 +301,44 @@
         while (!m_members && !m_core.stop.begun()) {
             const bool joined = co_await tryJoin();
             if (!joined) {
-                boost::system::error_code ignored;
-                m_joinTimer.expires_after(base::jittered(s_joinPause, 0.5, m_core.random));
-                co_await m_joinTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+                co_await sleep(base::jittered(s_joinPause, 0.5, m_core.random));
             }
         }
     }
 
     boost::asio::awaitable<bool> tryJoin()
     {
-        StoreResult keys = co_await m_store.readAll(s_keyTable);
-        if (keys.status == StoreStatus::Ok && keys.rows.empty()) {
-            const std::string newKey = base::toHex({m_core.random.next()}) + base::toHex({m_core.random.next()});
-            co_await m_store.writeIf(s_keyTable, s_keyRow, newKey, 0); // fails if another instance has created the key meanwhile
-            keys = co_await m_store.readAll(s_keyTable);
-        }
-        if (keys.status != StoreStatus::Ok || keys.rows.empty()) {
-            co_return false;
-        }
-        const Registration own{m_core.settings.peerAddress, m_core.settings.failureDomain};
-        const StoreResult written = co_await m_store.write(s_memberTable, m_core.settings.name, own.text());
-        if (written.status != StoreStatus::Ok) {
+        const std::optional<std::string> key = co_await m_register.readKey();
+        if (!key) {
             co_return false;
         }
+        std::optional<std::vector<RegisteredInstance>> registered;
         if (m_core.settings.firstStart) {
-            m_joinTimer.expires_after(s_firstStartPause);
-            boost::system::error_code ignored; // the timer is not cancelled
-            co_await m_joinTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            const bool written = co_await m_register.write();
+            if (!written) {
+                co_return false;
+            }
+            co_await sleep(s_firstStartPause);
+            registered = co_await m_register.read();
+        } else {
+            registered = co_await m_register.join();
         }
-        const StoreResult rows = co_await m_store.readAll(s_memberTable);
-        if (rows.status != StoreStatus::Ok) {
+        if (!registered) {
             co_return false;
         }
-        std::vector<std::string> seeds;
-        std::size_t inDomain = 0;
+        const std::vector<std::string> seeds = otherAddresses(*registered);
         m_registered.clear();
-        for (const StoreRow &row : rows.rows) {
-            const Registration other = Registration::fromText(row.value);
-            if (!other.valid()) {
-                LogLine line("registration_ignored");
-                line.text("name", row.key).text("peer_address", other.peerAddress);
-                m_core.log.write(line, http::now());
-                continue;
-            }
-            if (other.failureDomain == own.failureDomain) {
-                ++inDomain;
-                m_registered.push_back({row.key, other.peerAddress});
-            }
-            if (other.peerAddress != own.peerAddress) {
-                seeds.push_back(other.peerAddress);
+        for (const RegisteredInstance &instance : *registered) {
+            if (instance.registration.failureDomain == m_core.settings.failureDomain) {
+                m_registered.push_back({instance.name, instance.registration.peerAddress});
             }
         }
         // Until members have been contacted, all registered instances are assumed to be running.
         m_core.members.observe(seeds.size() + 1, http::now());
-        m_core.domainMembers.observe(inDomain, http::now());
+        m_core.domainMembers.observe(std::max<std::size_t>(1, m_registered.size()), http::now());
         m_joinedAt = http::now();
-        m_members = std::make_unique<MemberLink>(m_core.context, m_core.settings, keys.rows.front().value, m_incarnation, seeds, m_core.random.next());
+        m_nextSearch = m_joinedAt + s_searchPause;
+        m_members = std::make_unique<MemberLink>(m_core.context, m_core.settings, *key, m_incarnation, seeds, m_core.random.next());
         m_members->reportReceived = [this](const FleetReport &report) {
             applyReport(report);
         };
@@ -390,11 +347,59 @@
         };
         updateReaders();
         LogLine line("joined");
-        line.number("registered", static_cast<std::int64_t>(rows.rows.size()));
+        line.number("registered", static_cast<std::int64_t>(registered->size()));
         m_core.log.write(line, http::now(), true);
         co_return true;
     }
 
+    /// Peer addresses of the registered instances but this one.
+    std::vector<std::string> otherAddresses(const std::vector<RegisteredInstance> &registered) const
+    {
+        std::vector<std::string> addresses;
+        for (const RegisteredInstance &instance : registered) {
+            if (instance.registration.peerAddress != m_core.settings.peerAddress) {
+                addresses.push_back(instance.registration.peerAddress);
+            }
+        }
+        return addresses;
+    }
+
+    /// Looks for instances that have registered since the join, while no other member is known.
+    boost::asio::awaitable<void> searchMembers()
+    {
+        const std::optional<std::vector<RegisteredInstance>> registered = co_await m_register.read();
+        if (registered) {
+            for (const std::string &address : otherAddresses(*registered)) {
+                m_members->addSeed(address);
+            }
+        }
+    }
+
+    void searchMembersWhileAlone(base::TimePoint now)
+    {
+        if (m_members->memberCount(now) > 1) {
+            m_nextSearch = now + s_searchPause;
+            m_searchPause = s_searchPause;
+        } else if (now >= m_nextSearch) {
+            m_searchPause = std::min(m_searchPause * 2, s_maximumSearchPause);
+            m_nextSearch = now + base::jittered(m_searchPause, 0.5, m_core.random);
+            spawnOnce(
+                m_core,
+                "search_members",
+                [this]() {
+                    return searchMembers();
+                },
+                [] {});
+        }
+    }
+
+    boost::asio::awaitable<void> sleep(base::Duration duration)
+    {
+        boost::system::error_code ignored; // the timer is not cancelled
+        m_joinTimer.expires_after(duration);
+        co_await m_joinTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+
     void applyReport(const FleetReport &report)
     {
         const base::TimePoint now = http::now();
@@ -467,6 +472,7 @@
             if (!m_settled) {
                 updateReaders();
             }
+            searchMembersWhileAlone(now);
             sendReports(now);
             forEachTable([now](auto &table) {
                 table.checkLag(now);
@@ -578,6 +584,7 @@
     std::uint64_t m_seed;
     EntryCore m_core;
     typename Platform::Store m_store;
+    FleetRegister<typename Platform::Store> m_register;
     std::unique_ptr<MemberLink> m_members; ///< null until joined
     FollowedTable<typename Platform::Store, OperatorObserver> m_operator;
     FollowedTable<typename Platform::Store, UpstreamObserver> m_upstreams;
@@ -597,6 +604,8 @@
     base::TimePoint m_nextReport;
     std::vector<feed::ReaderCandidate> m_registered; ///< instances of this failure domain in the register at the join
     base::TimePoint m_joinedAt;
+    base::TimePoint m_nextSearch; ///< earliest next search of the register while no other member is known
+    base::Duration m_searchPause = s_searchPause;
     bool m_settled = false; ///< the members are known well enough to choose readers from them
 };
 
--- /dev/null
+++ b/include/trefoilstile/proxy/fleet_register.hpp
@@ -0,0 +1,123 @@
+// Register of the entry instances in the store, and the key of the messages between them.
+//
+// An instance that starts finds the others in the register. Rows of instances that are gone stay there; they are addresses at which
+// nobody answers.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "trefoilstile/base/ids.hpp"
+#include "trefoilstile/http/clock.hpp"
+#include "trefoilstile/proxy/entry_core.hpp"
+#include "trefoilstile/proxy/registration.hpp"
+#include "trefoilstile/proxy/row_store.hpp"
+
+namespace trefoilstile::proxy
+{
+
+struct RegisteredInstance {
+    std::string name;
+    Registration registration;
+};
+
+template<RowStore Store>
+class FleetRegister
+{
+public:
+    FleetRegister(EntryCore &core, Store &store)
+        : m_core(core)
+        , m_store(store)
+    {
+    }
+
+    /// Reads the key, or creates it if there is none. Nothing if the store does not answer.
+    boost::asio::awaitable<std::optional<std::string>> readKey()
+    {
+        StoreResult keys = co_await m_store.readAll(s_keyTable);
+        if (keys.status == StoreStatus::Ok && keys.rows.empty()) {
+            const std::string newKey = base::toHex({m_core.random.next()}) + base::toHex({m_core.random.next()});
+            co_await m_store.writeIf(s_keyTable, s_keyRow, newKey, 0); // fails if another instance has created the key meanwhile
+            keys = co_await m_store.readAll(s_keyTable);
+        }
+        if (keys.status != StoreStatus::Ok || keys.rows.empty()) {
+            co_return std::nullopt;
+        }
+        co_return keys.rows.front().value;
+    }
+
+    /// Reads all usable rows. Nothing if the store does not answer.
+    boost::asio::awaitable<std::optional<std::vector<RegisteredInstance>>> read()
+    {
+        const StoreResult rows = co_await m_store.readAll(s_memberTable);
+        if (rows.status != StoreStatus::Ok) {
+            co_return std::nullopt;
+        }
+        std::vector<RegisteredInstance> instances;
+        for (const StoreRow &row : rows.rows) {
+            const Registration registration = Registration::fromText(row.value);
+            if (registration.valid()) {
+                instances.push_back({row.key, registration});
+                continue;
+            }
+            LogLine line("registration_ignored");
+            line.text("name", row.key).text("peer_address", registration.peerAddress);
+            m_core.log.write(line, http::now());
+        }
+        co_return instances;
+    }
+
+    /// Writes the row of this instance; false if the store does not confirm it.
+    boost::asio::awaitable<bool> write()
+    {
+        const StoreResult written = co_await m_store.write(s_memberTable, m_core.settings.name, own().text());
+        co_return written.status == StoreStatus::Ok;
+    }
+
+    /// Registers this instance and reads the others. An instance that starts again is registered already and only reads: the store
+    /// executes few writes per second, and all instances may start at once.
+    boost::asio::awaitable<std::optional<std::vector<RegisteredInstance>>> join()
+    {
+        std::optional<std::vector<RegisteredInstance>> instances = co_await read();
+        if (!instances || contains(*instances)) {
+            co_return instances;
+        }
+        const bool written = co_await write();
+        if (!written) {
+            co_return std::nullopt;
+        }
+        if (instances->empty()) {
+            // Others may register at the same time. Reading after the write, at least one of two instances sees the other.
+            instances = co_await read();
+        }
+        co_return instances;
+    }
+
+private:
+    /// Any process that may write to the store can join.
+    static constexpr const char *s_keyTable = "trefoilstile-keys";
+    static constexpr const char *s_keyRow = "peer-key";
+    static constexpr const char *s_memberTable = "trefoilstile-members";
+
+    Registration own() const
+    {
+        return {m_core.settings.peerAddress, m_core.settings.failureDomain};
+    }
+
+    bool contains(const std::vector<RegisteredInstance> &instances) const
+    {
+        return std::any_of(instances.begin(), instances.end(), [this](const RegisteredInstance &instance) {
+            return instance.name == m_core.settings.name && instance.registration == own();
+        });
+    }
+
+    EntryCore &m_core;
+    Store &m_store;
+};
+
+} // namespace trefoilstile::proxy
--- a/include/trefoilstile/proxy/member_link.hpp
+++ b/include/trefoilstile/proxy/member_link.hpp
@@ -37,6 +37,12 @@
     /// Runs the failure detector's periodic work.
     void tick(base::TimePoint now);
 
+    /// Adds the peer address of an instance that may run.
+    void addSeed(const std::string &peerAddress)
+    {
+        m_detector.addSeed(peerAddress);
+    }
+
     /// Announces to the other members that this instance stops.
     void announceLeaving(base::TimePoint now);
 
--- a/include/trefoilstile/proxy/registration.hpp
+++ b/include/trefoilstile/proxy/registration.hpp
@@ -14,6 +14,8 @@
     std::string peerAddress; ///< `IP:port`
     std::string failureDomain;
 
+    friend bool operator==(const Registration &, const Registration &) = default;
+
     /// The two fields, separated by a space.
     std::string text() const
     {
--- a/src/feed/source_policy.cpp
+++ b/src/feed/source_policy.cpp
@@ -49,6 +49,7 @@
 void SourcePolicy::succeeded(const std::string &address)
 {
     m_failures.erase(address);
+    m_withoutStoreSince.reset();
 }
 
 void SourcePolicy::failed(const std::string &address, base::TimePoint now)
@@ -63,7 +64,12 @@
 
 void SourcePolicy::withoutStore(const std::string &address, base::TimePoint now)
 {
-    pause(address, true, now);
+    if (!m_withoutStoreSince) {
+        m_withoutStoreSince = now;
+    }
+    if (now >= *m_withoutStoreSince + m_options.outageTolerance) {
+        pause(address, true, now);
+    }
 }
 
 void SourcePolicy::pause(const std::string &address, bool answers, base::TimePoint now)
--- a/src/proxy/feed_router_test.cpp
+++ b/src/proxy/feed_router_test.cpp
@@ -34,6 +34,13 @@
     }
 };
 
+feed::SourceOptions withoutTolerance()
+{
+    feed::SourceOptions options;
+    options.outageTolerance = 0ms;
+    return options;
+}
+
 /// Router with scripted instances; one without a response does not answer.
 struct RouterFixture {
     RouterFixture()
@@ -44,7 +51,8 @@
                 return answer(std::move(address), std::move(request));
             },
             FeedTimes(),
-            1)
+              1,
+              withoutTolerance())
     {
     }
 
