--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -32,6 +32,7 @@
 #include "trefoilstile/proxy/followed_table.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
 #include "trefoilstile/proxy/platform_adapter.hpp"
+#include "trefoilstile/proxy/table_rows.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -45,8 +46,8 @@
         , m_core(context, std::move(settings), Platform::headerNames(), m_seed)
         , m_store(context, m_core.settings.storeAddress)
         , m_register(m_core, m_store)
-        , m_operator(m_core, m_store, OperatorObserver{*this}, Platform::operatorTable(), feedCall(), TableWatchOptions())
-        , m_upstreams(m_core, m_store, UpstreamObserver{*this}, Platform::upstreamTable(), feedCall(), watchOptions(m_core.settings.leavingBound))
+        , m_operator(m_core, m_store, OperatorRows<Platform>(m_core), Platform::operatorTable(), feedCall(), TableWatchOptions())
+        , m_upstreams(m_core, m_store, UpstreamRows<Platform>(m_core), Platform::upstreamTable(), feedCall(), watchOptions(m_core.settings.leavingBound))
         , m_incarnation{m_core.random.next()}
         , m_timer(context)
         , m_joinTimer(context)
@@ -107,47 +108,6 @@
     static constexpr base::Duration s_searchPause = std::chrono::seconds(3);
     static constexpr base::Duration s_maximumSearchPause = std::chrono::minutes(1);
 
-    struct OperatorObserver {
-        EntryProcess &process;
-        void rowChanged(const StoreRow &row)
-        {
-            process.applyOperatorRow(row);
-        }
-        void tableRead()
-        {
-        }
-        void storeLost(std::string_view detail)
-        {
-            process.logDependency("store_lost", Platform::operatorTable(), detail);
-        }
-        void storeRegained()
-        {
-            process.logDependency("store_regained", Platform::operatorTable(), {});
-        }
-    };
-
-    struct UpstreamObserver {
-        EntryProcess &process;
-        void rowChanged(const StoreRow &row)
-        {
-            process.applyUpstreamRow(row);
-        }
-        void tableRead()
-        {
-            process.m_core.upstreamsKnown = true;
-        }
-        void storeLost(std::string_view detail)
-        {
-            process.m_core.upstreamTable.setSourceAvailable(false, http::now());
-            process.logDependency("store_lost", Platform::upstreamTable(), detail);
-        }
-        void storeRegained()
-        {
-            process.m_core.upstreamTable.setSourceAvailable(true, http::now());
-            process.logDependency("store_regained", Platform::upstreamTable(), {});
-        }
-    };
-
     void setHandlers()
     {
         m_lookups.handle(Platform::lookupPath(), [this](std::string_view query) {
@@ -229,71 +189,6 @@
         m_core.metrics.set("trefoilstile_log_lines_dropped", {}, static_cast<double>(m_core.log.dropped()));
     }
 
-    void logDependency(std::string_view event, std::string_view table, std::string_view detail)
-    {
-        LogLine line(event);
-        line.text("table", table).text("detail", detail).number("configuration", static_cast<std::int64_t>(m_core.configuration.version));
-        m_core.log.write(line, http::now(), true);
-    }
-
-    void applyOperatorRow(const StoreRow &row)
-    {
-        const base::TimePoint now = http::now();
-        if (const auto domain = Platform::evacuatedDomain(row.key)) {
-            if (row.removed) {
-                m_evacuated.erase(*domain);
-            } else {
-                m_evacuated.insert(*domain);
-            }
-            m_core.upstreamTable.setEvacuated(m_evacuated, now);
-            LogLine line("evacuation");
-            line.text("failure_domain", *domain).flag("evacuated", !row.removed).number("store_version", static_cast<std::int64_t>(row.version));
-            m_core.log.write(line, now, true);
-            return;
-        }
-        if (!Platform::isConfiguration(row.key) || row.removed) {
-            return; // after the removal of the row the last configuration stays in effect
-        }
-        LogLine line("configuration");
-        line.number("store_version", static_cast<std::int64_t>(row.version));
-        try {
-            ingress::Configuration configuration = Platform::decodeConfiguration(row.value);
-            const std::uint64_t version = configuration.version;
-            const std::size_t routes = configuration.routes.size();
-            const bool applied = m_core.applyConfiguration(std::move(configuration), now);
-            line.number("version", static_cast<std::int64_t>(version)).number("routes", static_cast<std::int64_t>(routes)).flag("applied", applied);
-        } catch (const std::exception &error) {
-            line.flag("applied", false).text("error", error.what()).number("kept", static_cast<std::int64_t>(m_core.configuration.version));
-        }
-        m_core.log.write(line, now, true);
-    }
-
-    void applyUpstreamRow(const StoreRow &row)
-    {
-        const base::TimePoint now = http::now();
-        LogLine line("upstream");
-        line.text("upstream", row.key).number("store_version", static_cast<std::int64_t>(row.version));
-        if (row.removed) {
-            m_core.upstreamTable.remove(row.key, now);
-            line.text("state", "removed");
-        } else {
-            try {
-                const ingress::UpstreamReport report = Platform::decodeUpstream(row);
-                m_core.upstreamTable.report(report, now);
-                line.text("state", report.draining ? "draining" : "ready")
-                    .text("service", report.service)
-                    .text("address", report.address)
-                    .text("failure_domain", report.failureDomain)
-                    .milliseconds("warm_up_ms", report.warmUpLeft);
-            } catch (const std::exception &error) {
-                // A row that cannot be decoded describes no usable upstream.
-                m_core.upstreamTable.remove(row.key, now);
-                line.text("state", "unreadable").text("error", error.what());
-            }
-        }
-        m_core.log.write(line, now);
-    }
-
     /// Joins the membership: creates or reads the peer key in the store, registers this instance and contacts the registered
     /// ones. Retries until that succeeds.
     boost::asio::awaitable<void> join()
@@ -586,8 +481,8 @@
     typename Platform::Store m_store;
     FleetRegister<typename Platform::Store> m_register;
     std::unique_ptr<MemberLink> m_members; ///< null until joined
-    FollowedTable<typename Platform::Store, OperatorObserver> m_operator;
-    FollowedTable<typename Platform::Store, UpstreamObserver> m_upstreams;
+    FollowedTable<typename Platform::Store, OperatorRows<Platform>> m_operator;
+    FollowedTable<typename Platform::Store, UpstreamRows<Platform>> m_upstreams;
     FeedServer m_feedServer;
     base::IncarnationId m_incarnation;
     boost::asio::steady_timer m_timer;
@@ -597,7 +492,6 @@
     http::OperatorServer m_readiness;
     http::OperatorServer m_metrics;
     CallerListener m_callers;
-    std::set<std::string, std::less<>> m_evacuated; ///< failure domains
     std::map<base::IncarnationId, LoggedMember> m_loggedMembers;
     std::uint64_t m_membersVersion = ~0ULL; ///< version of the member table that `observeMembers` last handled
     std::optional<base::TimePoint> m_stopSince; ///< time of SIGTERM
--- a/src/proxy/feed_router_test.cpp
+++ b/src/proxy/feed_router_test.cpp
@@ -51,8 +51,8 @@
                 return answer(std::move(address), std::move(request));
             },
             FeedTimes(),
-              1,
-              withoutTolerance())
+            1,
+            withoutTolerance())
     {
     }
 
