--- a/include/trefoilstile/peer/payload.hpp
+++ b/include/trefoilstile/peer/payload.hpp
@@ -197,13 +197,21 @@
     friend bool operator==(const FeedRow &, const FeedRow &) = default;
 };
 
+/// Rows as they travel, so that one encoding serves all receivers; see `encodeFeedRows`.
+struct FeedRows {
+    std::string bytes;
+    std::int32_t size{}; ///< of the bytes before they were compressed; 0: they are not compressed
+
+    friend bool operator==(const FeedRows &, const FeedRows &) = default;
+};
+
 struct FeedResponse {
     FeedStatus status = FeedStatus::NotReader;
     std::string table;
     std::uint64_t version{}; ///< the receiver has the table up to this version once it has applied the rows
     bool more = false; ///< further changes are known; ask again
     bool storeAvailable = false; ///< the store answered the last call of the responder
-    std::vector<FeedRow> rows;
+    FeedRows rows;
 
     friend bool operator==(const FeedResponse &, const FeedResponse &) = default;
 };
--- a/include/trefoilstile/proxy/feed_router.hpp
+++ b/include/trefoilstile/proxy/feed_router.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
 
 #include "trefoilstile/feed/source_policy.hpp"
 #include "trefoilstile/http/clock.hpp"
+#include "trefoilstile/peer/feed_rows.hpp"
 #include "trefoilstile/peer/payload.hpp"
 #include "trefoilstile/proxy/row_store.hpp"
 
@@ -98,9 +100,10 @@
             peer::FeedRequest request{table, after, false, poll, m_storeAvailable};
             const std::optional<peer::FeedResponse> response = co_await m_call(source.address, std::move(request), poll + m_times.grace);
             const bool answered = response && (response->status == peer::FeedStatus::Changes || response->status == peer::FeedStatus::HistoryLost);
-            if (answered) {
+            std::optional<StoreResult> result = answered ? resultOf(*response, after) : std::nullopt;
+            if (result) {
                 recordAnswer(source.address, response->storeAvailable);
-                co_return resultOf(*response, after);
+                co_return std::move(*result);
             }
             recordFailure(source.address, response && response->status == peer::FeedStatus::NotReady);
         }
@@ -141,10 +144,13 @@
             if (!response || response->status != peer::FeedStatus::Changes) {
                 co_return std::nullopt;
             }
-            StoreResult result = resultOf(*response, request.after);
-            std::move(result.rows.begin(), result.rows.end(), std::back_inserter(all.rows));
-            result.rows = std::move(all.rows);
-            all = std::move(result);
+            std::optional<StoreResult> result = resultOf(*response, request.after);
+            if (!result) {
+                co_return std::nullopt;
+            }
+            std::move(result->rows.begin(), result->rows.end(), std::back_inserter(all.rows));
+            result->rows = std::move(all.rows);
+            all = std::move(*result);
             request.after = all.version;
             if (!response->more) {
                 co_return all;
@@ -153,14 +159,20 @@
         co_return std::nullopt;
     }
 
-    static StoreResult resultOf(const peer::FeedResponse &response, std::uint64_t after)
+    /// Nothing if the rows are malformed.
+    static std::optional<StoreResult> resultOf(const peer::FeedResponse &response, std::uint64_t after)
     {
+        const std::optional<std::vector<peer::FeedRow>> rows = peer::decodeFeedRows(response.rows);
+        if (!rows) {
+            return std::nullopt;
+        }
         StoreResult result;
         result.status = response.status == peer::FeedStatus::Changes ? StoreStatus::Ok : StoreStatus::HistoryLost;
         result.version = std::max(response.version, after);
         result.sourceAvailable = response.storeAvailable;
         result.coalesced = true;
-        for (const peer::FeedRow &row : response.rows) {
+        result.rows.reserve(rows->size());
+        for (const peer::FeedRow &row : *rows) {
             result.rows.push_back({row.key, row.value, row.version, row.removed});
         }
         return result;
--- a/include/trefoilstile/proxy/feed_server.hpp
+++ b/include/trefoilstile/proxy/feed_server.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -17,6 +19,7 @@
 struct FeedServerOptions {
     base::Duration maximumWait = std::chrono::seconds(5); ///< longest time for which an answer is held back
     std::size_t maximumWaiting = 512; ///< requests held back; further ones are sent to another reader
+    std::size_t keptAnswers = 8; ///< the pages of two complete tables, and the changes of the last calls
 };
 
 class FeedServer
@@ -60,8 +63,20 @@
         base::TimePoint until;
     };
 
+    /// Encoded answer with changes; valid while the copy is at `copyVersion`.
+    struct Answer {
+        std::string table;
+        std::uint64_t after{};
+        bool completeRead = false;
+        std::uint64_t copyVersion{};
+        peer::FeedResponse response; ///< without the availability of the store
+    };
+
     /// Response to the request as things are now; `worthSending` is false if it has nothing new.
-    peer::FeedResponse respond(const peer::FeedRequest &request, bool &worthSending) const;
+    peer::FeedResponse respond(const peer::FeedRequest &request, bool &worthSending);
+
+    /// The changes for the request. Followers ask for the same ones at the same time, so the latest answers are kept.
+    const peer::FeedResponse &changesFor(const peer::FeedRequest &request, const feed::TableCopy &copy);
 
     /// Answers and removes the waiting requests that `selects` selects.
     /// @param withoutNews also those for which there is nothing new
@@ -71,6 +86,7 @@
     FeedServerOptions m_options;
     std::map<std::string, Table, std::less<>> m_tables;
     std::vector<Waiting> m_waiting;
+    std::deque<Answer> m_answers; ///< the latest ones, newest first
 };
 
 } // namespace trefoilstile::proxy
--- a/src/peer/generators.hpp
+++ b/src/peer/generators.hpp
@@ -108,12 +108,7 @@
             {{text(), nonNegativeNumber()}},
             text()},
         FeedRequest{text(), nonNegativeNumber(), true, duration(), false},
-        FeedResponse{FeedStatus::Changes,
-            text(),
-            nonNegativeNumber(),
-            true,
-            true,
-            {{text(), text(), nonNegativeNumber(), false}, {text(), std::string(5'000, 'x'), nonNegativeNumber(), true}}}};
+        FeedResponse{FeedStatus::Changes, text(), nonNegativeNumber(), true, true, {text(), 5}}};
 }
 
 } // namespace trefoilstile::peer::testing
--- a/src/peer/translate_transfers.cpp
+++ b/src/peer/translate_transfers.cpp
@@ -1,8 +1,5 @@
 // Translation of fetches, handoffs, loans, capacity advertisements and load reports to and from Thrift structs.
 
-#include <utility>
-
-#include "compression.hpp"
 #include "translate.hpp"
 
 namespace trefoilstile::peer
@@ -11,9 +8,6 @@
 namespace
 {
 
-/// Maximum number of rows of a feed response; senders put fewer into one, see `feed::TableCopyOptions`.
-constexpr std::int32_t s_maximumFeedRows = 8'192;
-
 wire::Part toWire(const Part &value)
 {
     wire::Part out;
@@ -287,22 +281,8 @@
     out.version = bitsToWire(value.version);
     out.more = value.more;
     out.storeAvailable = value.storeAvailable;
-    wire::FeedRows list;
-    list.rows.reserve(value.rows.size());
-    for (const FeedRow &row : value.rows) {
-        wire::FeedRow entry;
-        entry.key = row.key;
-        entry.value = row.value;
-        entry.version = bitsToWire(row.version);
-        entry.removed = row.removed;
-        list.rows.push_back(std::move(entry));
-    }
-    out.rows = toCompact(list);
-    out.rowsBytes = 0;
-    if (out.rows.size() >= s_minimumCompressedBytes) {
-        out.rowsBytes = static_cast<std::int32_t>(out.rows.size());
-        out.rows = compressed(out.rows);
-    }
+    out.rows = value.rows.bytes;
+    out.rowsBytes = value.rows.size;
     return out;
 }
 
@@ -314,13 +294,7 @@
     out.version = checkedNumber<std::uint64_t>(value.version);
     out.more = value.more;
     out.storeAvailable = value.storeAvailable;
-    const bool isCompressed = value.rowsBytes != 0;
-    const auto list = fromCompact<wire::FeedRows>(isCompressed ? decompressed(value.rows, value.rowsBytes) : value.rows, s_maximumFeedRows);
-    out.rows.reserve(list.rows.size());
-    for (const wire::FeedRow &row : list.rows) {
-        // The size of the frame limits keys and values.
-        out.rows.push_back({row.key, row.value, checkedNumber<std::uint64_t>(row.version), row.removed});
-    }
+    out.rows = {value.rows, value.rowsBytes};
     return out;
 }
 
--- a/src/proxy/feed_router_test.cpp
+++ b/src/proxy/feed_router_test.cpp
@@ -91,9 +91,9 @@
     FeedRouter<FakeStore> router;
 };
 
-peer::FeedResponse changes(std::uint64_t version, std::vector<peer::FeedRow> rows, bool more = false, bool storeAvailable = true)
+peer::FeedResponse changes(std::uint64_t version, const std::vector<peer::FeedRow> &rows, bool more = false, bool storeAvailable = true)
 {
-    return {peer::FeedStatus::Changes, "servers", version, more, storeAvailable, std::move(rows)};
+    return {peer::FeedStatus::Changes, "servers", version, more, storeAvailable, peer::encodeFeedRows(rows)};
 }
 
 using Calls = std::vector<std::string>;
@@ -171,6 +171,19 @@
     BOOST_TEST((fixture.run(fixture.router.readChanges("servers", 2, 7s)).status == StoreStatus::HistoryLost));
 }
 
+// Guards against a reader that sends rows which cannot be read, and is followed on.
+BOOST_AUTO_TEST_CASE(readerWithMalformedRowsIsLeft)
+{
+    RouterFixture fixture;
+    fixture.router.setReaders(false, {"r1", "r2"});
+    peer::FeedResponse malformed = changes(9, {});
+    malformed.rows.bytes = "not rows";
+    fixture.responses["r1"] = {malformed};
+    fixture.responses["r2"] = {changes(9, {{"a", "1", 9, false}})};
+    BOOST_TEST(fixture.run(fixture.router.readChanges("servers", 2, 7s)).rows.size() == 1U);
+    BOOST_TEST((fixture.calls == Calls{"r1 after 2", "r2 after 2"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
--- a/src/proxy/feed_server.cpp
+++ b/src/proxy/feed_server.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "trefoilstile/peer/feed_rows.hpp"
+
 namespace trefoilstile::proxy
 {
 
@@ -13,32 +15,51 @@
     m_tables.emplace(name, std::move(table));
 }
 
-peer::FeedResponse FeedServer::respond(const peer::FeedRequest &request, bool &worthSending) const
+peer::FeedResponse FeedServer::respond(const peer::FeedRequest &request, bool &worthSending)
 {
-    peer::FeedResponse response;
-    response.table = request.table;
     worthSending = true;
     const auto found = m_tables.find(request.table);
     const bool once = request.wait <= base::Duration::zero();
-    if (found != m_tables.end() && !found->second.copy.complete()) {
-        response.status = peer::FeedStatus::NotReady;
-        return response;
+    const bool ready = found != m_tables.end() && found->second.copy.complete();
+    if (!ready || (!once && !found->second.readsStore())) {
+        peer::FeedResponse refusal;
+        refusal.table = request.table;
+        refusal.status = found != m_tables.end() && !ready ? peer::FeedStatus::NotReady : peer::FeedStatus::NotReader;
+        return refusal;
+    }
+    peer::FeedResponse response = changesFor(request, found->second.copy);
+    response.storeAvailable = found->second.storeAvailable();
+    const bool hasNews = response.status == peer::FeedStatus::HistoryLost || !response.rows.bytes.empty() || response.storeAvailable != request.storeAvailable;
+    worthSending = once || request.completeRead || hasNews;
+    return response;
+}
+
+const peer::FeedResponse &FeedServer::changesFor(const peer::FeedRequest &request, const feed::TableCopy &copy)
+{
+    const auto kept = std::find_if(m_answers.begin(), m_answers.end(), [&](const Answer &answer) {
+        return answer.copyVersion == copy.version() && answer.after == request.after && answer.completeRead == request.completeRead
+            && answer.table == request.table;
+    });
+    if (kept != m_answers.end()) {
+        return kept->response;
     }
-    if (found == m_tables.end() || (!once && !found->second.readsStore())) {
-        return response;
+    const feed::Changes changes = copy.changesAfter(request.after, request.completeRead);
+    std::vector<peer::FeedRow> rows;
+    rows.reserve(changes.rows.size());
+    for (const feed::Row &row : changes.rows) {
+        rows.push_back({row.key, row.value, row.version, row.removed});
     }
-    const Table &table = found->second;
-    feed::Changes changes = table.copy.changesAfter(request.after, request.completeRead);
-    response.status = changes.historyLost ? peer::FeedStatus::HistoryLost : peer::FeedStatus::Changes;
-    response.version = changes.version;
-    response.more = changes.more;
-    response.storeAvailable = table.storeAvailable();
-    worthSending = once || request.completeRead || changes.historyLost || !changes.rows.empty() || response.storeAvailable != request.storeAvailable;
-    response.rows.reserve(changes.rows.size());
-    for (feed::Row &row : changes.rows) {
-        response.rows.push_back({std::move(row.key), std::move(row.value), row.version, row.removed});
+    Answer answer{request.table, request.after, request.completeRead, copy.version(), {}};
+    answer.response.table = request.table;
+    answer.response.status = changes.historyLost ? peer::FeedStatus::HistoryLost : peer::FeedStatus::Changes;
+    answer.response.version = changes.version;
+    answer.response.more = changes.more;
+    answer.response.rows = peer::encodeFeedRows(rows);
+    m_answers.push_front(std::move(answer));
+    if (m_answers.size() > m_options.keptAnswers) {
+        m_answers.pop_back();
     }
-    return response;
+    return m_answers.front().response;
 }
 
 void FeedServer::handle(peer::FeedRequest request, Reply reply, base::TimePoint now)
--- a/src/proxy/feed_server_test.cpp
+++ b/src/proxy/feed_server_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "trefoilstile/peer/feed_rows.hpp"
+
 namespace trefoilstile::proxy
 {
 
@@ -14,6 +16,11 @@
 
 constexpr base::TimePoint s_start = base::TimePoint(100s);
 
+std::size_t rowsOf(const peer::FeedResponse &response)
+{
+    return peer::decodeFeedRows(response.rows).value().size();
+}
+
 /// Server of one table, and the responses that it has sent.
 struct ServerFixture {
     ServerFixture()
@@ -61,7 +68,7 @@
     fixture.copy.apply({{"a", "2", 8, false}}, 8, false);
     fixture.server.tableChanged("servers");
     BOOST_REQUIRE(fixture.responses.size() == 1U);
-    BOOST_TEST(fixture.responses[0].rows.size() == 1U);
+    BOOST_TEST(rowsOf(fixture.responses[0]) == 1U);
     BOOST_TEST(fixture.responses[0].version == 8U);
     fixture.server.advance(s_start + 10s);
     BOOST_TEST(fixture.responses.size() == 1U);
@@ -90,7 +97,7 @@
     BOOST_TEST((fixture.responses[0].status == peer::FeedStatus::NotReader));
     fixture.ask(3, 0ms); // a single question, to catch up or at the start
     BOOST_TEST((fixture.responses[1].status == peer::FeedStatus::Changes));
-    BOOST_TEST(fixture.responses[1].rows.size() == 1U);
+    BOOST_TEST(rowsOf(fixture.responses[1]) == 1U);
     fixture.readsStore = true;
     fixture.ask(5, 600ms);
     fixture.readsStore = false;
@@ -158,6 +165,28 @@
     BOOST_TEST(server.waiting() == 0U);
 }
 
+// Guards against an old answer that is given again after a change, and against one for another version or table.
+BOOST_AUTO_TEST_CASE(keptAnswersFollowTheTable)
+{
+    ServerFixture fixture;
+    fixture.ask(0, 0ms);
+    fixture.ask(0, 0ms);
+    BOOST_TEST(rowsOf(fixture.responses[1]) == 2U);
+    fixture.ask(3, 0ms);
+    BOOST_TEST(rowsOf(fixture.responses[2]) == 1U);
+    fixture.copy.apply({{"c", "1", 7, false}}, 7, false);
+    fixture.ask(0, 0ms);
+    BOOST_TEST(rowsOf(fixture.responses[3]) == 3U);
+    fixture.storeAvailable = false;
+    fixture.ask(0, 0ms);
+    BOOST_TEST(!fixture.responses[4].storeAvailable);
+    for (std::uint64_t after = 0; after < 20; ++after) {
+        fixture.ask(after, 0ms);
+    }
+    fixture.ask(0, 0ms);
+    BOOST_TEST(rowsOf(fixture.responses.back()) == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
