--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "deployment.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -12,6 +13,7 @@
 #include <utility>
 
 #include <fcntl.h>
+#include <nlohmann/json.hpp>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -83,12 +85,12 @@
     , m_folder(std::move(folder))
     , m_template(readFile("deploy/entry.conf.template"))
     , m_program(deployedProgram())
+    , m_network(16 + static_cast<int>(::getpid() % 200))
 {
-    const int network = 16 + static_cast<int>(::getpid() % 200);
-    std::map<std::string, int> counts;
+    constexpr std::size_t spares = 6;
+    m_machines.reserve(zones.size() + spares); // references to machines stay valid
     for (const std::string &zone : zones) {
-        const std::string ip = "127." + std::to_string(network) + ".1." + std::to_string(m_machines.size() + 1);
-        m_machines.push_back({"front-" + zone + "-" + std::to_string(++counts[zone]), zone, ip});
+        place(zone);
     }
     constexpr std::uint16_t firstPort = 20'000; // below the range of outgoing connections
     constexpr std::uint16_t lastPort = 29'000;
@@ -110,6 +112,21 @@
     m_firstStart = false;
 }
 
+Machine &Deployment::place(const std::string &zone)
+{
+    const auto inZone = std::count_if(m_machines.begin(), m_machines.end(), [&zone](const Machine &machine) {
+        return machine.zone == zone;
+    });
+    const std::string ip = "127." + std::to_string(m_network) + ".1." + std::to_string(m_machines.size() + 1);
+    m_machines.push_back({"front-" + zone + "-" + std::to_string(inZone + 1), zone, ip});
+    return m_machines.back();
+}
+
+void Deployment::addMachine(const std::string &zone)
+{
+    start(place(zone));
+}
+
 Deployment::~Deployment()
 {
     endProcesses();
@@ -226,6 +243,19 @@
     return true;
 }
 
+std::vector<std::string> resolve(const std::string &directory, const std::string &region, const std::string &zone)
+{
+    Socket connection = Socket::connectTo(directory);
+    const std::string target = std::string("/resolve?name=") + s_host + "&region=" + region + "&zone=" + zone;
+    Message answer;
+    if (!connection.isOpen() || !connection.write("GET " + target + " HTTP/1.1\r\nHost: directory\r\nConnection: close\r\n\r\n")
+        || connection.read(answer, Clock::now() + std::chrono::seconds(1)) != ReadResult::Complete || answer.status() != 200) {
+        return {};
+    }
+    const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+    return body.is_object() ? body.value("addresses", std::vector<std::string>()) : std::vector<std::string>();
+}
+
 int request(
     Observations &observations, const std::string &entry, const std::string &id, const std::string &method, const std::string &path, milliseconds deadline)
 {
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -26,7 +26,7 @@
 class Deployment
 {
 public:
-    /// @param zones zone of each machine
+    /// @param zones zone of each machine; up to six more can be added
     /// @param regions region of each zone
     /// @param folder temporary folder for settings and logs
     Deployment(Store &store, const std::vector<std::string> &zones, std::map<std::string, std::string> regions, std::string folder);
@@ -43,6 +43,8 @@
     /// Ends the entry processes and this program, without waiting for the threads of the stand-ins.
     [[noreturn]] void finish(int status);
     void signal(const Machine &machine, int number) const;
+    /// Adds a machine with an empty entry process, as the platform does with spare machines.
+    void addMachine(const std::string &zone);
 
     std::string front(const Machine &machine) const;
     std::string directory(const Machine &machine) const;
@@ -51,6 +53,7 @@
     bool awaitReady() const;
 
 private:
+    Machine &place(const std::string &zone);
     void endProcesses();
     std::string settings(const Machine &machine) const;
 
@@ -61,9 +64,13 @@
     std::string m_program;
     std::uint16_t m_port{}; ///< of the front; the other ports follow it
     bool m_firstStart = true;
+    int m_network; ///< second byte of the addresses
     std::vector<Machine> m_machines;
 };
 
+/// Asks a directory where to connect; empty without an answer.
+std::vector<std::string> resolve(const std::string &directory, const std::string &region, const std::string &zone);
+
 /// Sends one request on a new connection and records it; returns the status, 0 without a complete answer.
 int request(
     Observations &observations, const std::string &entry, const std::string &id, const std::string &method, const std::string &path, milliseconds deadline);
