--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review
+rm -f build-review/case-*
 for case in review/*/case.cpp; do
     name=$(basename "$(dirname "$case")")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "build-review/case-$name" "$case" review/standins/*.cpp &
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -39,12 +39,6 @@
     apply({table, key, value, ++m_version, false});
 }
 
-void Store::remove(const std::string &table, const std::string &key)
-{
-    const std::lock_guard lock(m_mutex);
-    apply({table, key, {}, ++m_version, true});
-}
-
 void Store::apply(Row row)
 {
     if (row.removed) {
--- a/review/standins/store.hpp
+++ b/review/standins/store.hpp
@@ -29,7 +29,6 @@
 
     /// Writes as the operator or a server; the return is the acknowledgement.
     void put(const std::string &table, const std::string &key, const std::string &value);
-    void remove(const std::string &table, const std::string &key);
 
     /// Until `endSilence`, no call gets a response: neither those that arrive meanwhile nor those that wait for changes. These responses
     /// are lost for good, and their connections deliver nothing further. Calls on other connections are answered again afterwards.
--- a/review/standins/wire.cpp
+++ b/review/standins/wire.cpp
@@ -127,13 +127,6 @@
     }
 }
 
-void Socket::reset()
-{
-    const linger abort{1, 0};
-    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
-    close();
-}
-
 bool Socket::write(std::string_view bytes)
 {
     while (!bytes.empty()) {
--- a/review/standins/wire.hpp
+++ b/review/standins/wire.hpp
@@ -64,8 +64,6 @@
         return m_descriptor;
     }
     void close();
-    /// Closes with a reset instead of a clean end.
-    void reset();
     /// Writes everything; false if the peer is gone.
     bool write(std::string_view bytes);
     ReadResult read(Message &message, Clock::time_point until);
