Part an attempt at an upstream from the decisions about its request

exchange.cpp held both what is decided about a request (route, placement, retries, response) and what moves its bytes (connection, head, response), in 535 lines.

--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -51,6 +51,7 @@
     }
     configuration = std::move(newer);
     routes = std::make_unique<ingress::RouteIndex>(configuration);
+    accounts = std::make_unique<ingress::AccountIndex>(configuration);
     upstreamTable.setServices(configuration);
     splitRegions(now);
     return true;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -1,4 +1,4 @@
-// Placement, attempts, retries and the response of one request.
+// Decisions about one request: route, placement, retries and the response.
 
 #include "trefoilstile/proxy/exchange.hpp"
 
@@ -11,7 +11,6 @@
 
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/http/clock.hpp"
-#include "trefoilstile/http/response_reader.hpp"
 #include "trefoilstile/proxy/activity.hpp"
 
 namespace trefoilstile::proxy
@@ -22,17 +21,10 @@
 
 using ingress::AttemptVerdict;
 
-/// Connecting to a running upstream takes one round trip, at most 70 ms between regions; after a lost packet it would take a
-/// second.
-constexpr base::Duration s_connectTimeout = std::chrono::milliseconds(500);
-
 /// Maximum number of placements of one request, including refused connections; bounds the work for a request while upstreams
 /// disappear.
 constexpr std::size_t s_maximumPlacements = 6;
 
-/// Maximum number of responses to earlier requests that are skipped on one connection.
-constexpr int s_maximumStrayResponses = 3;
-
 /// No further attempt is started with less time than this: it could not end in time on any path, and the response needs time
 /// to reach the caller.
 constexpr base::Duration s_minimumAttemptTime = std::chrono::milliseconds(120);
@@ -48,27 +40,6 @@
 /// Maximum waiting time accepted from a caller; longer times are reduced to it.
 constexpr std::uint64_t s_maximumWaitMilliseconds = 3'600'000;
 
-bool sendsLength(const http::Request &request)
-{
-    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-}
-
-/// Parses the three numbers of the load header field.
-std::optional<ingress::ReportedLoad> parseLoad(std::string_view text)
-{
-    std::uint64_t figures[3]{};
-    for (std::uint64_t &figure : figures) {
-        const auto comma = std::min(text.find(','), text.size());
-        const auto number = http::parseNumber(text.substr(0, comma));
-        if (!number || *number > 1'000'000) {
-            return std::nullopt;
-        }
-        figure = *number;
-        text.remove_prefix(std::min(comma + 1, text.size()));
-    }
-    return ingress::ReportedLoad{static_cast<std::uint32_t>(figures[0]), static_cast<std::uint32_t>(figures[1]), static_cast<std::uint32_t>(figures[2])};
-}
-
 } // namespace
 
 CallerResponse localResponse(std::uint16_t status, base::Duration retryAfter)
@@ -352,184 +323,4 @@
         });
 }
 
-boost::asio::awaitable<void> Exchange::attempt(std::shared_ptr<Attempt> attempt)
-{
-    const auto self = shared_from_this();
-    endAttempt(*attempt, co_await exchangeWith(attempt));
-}
-
-void Exchange::endAttempt(Attempt &attempt, AttemptEnd end)
-{
-    attempt.endedAt = http::now();
-    if (attempt.aborted && !end.response) {
-        end.verdict = m_cancelled ? AttemptVerdict::Cancelled : AttemptVerdict::TimedOut;
-    }
-    m_core.upstreamTable.attemptEnded(*attempt.upstream, end.verdict, attempt.endedAt - attempt.startedAt, attempt.load, attempt.endedAt);
-    m_core.logHealth(*attempt.upstream, attempt.endedAt);
-    if (end.verdict == AttemptVerdict::Served) {
-        attempt.upstream->warmKeys.handled(m_key, attempt.endedAt);
-    }
-    attempt.end = std::move(end);
-    attempt.ended = true;
-    m_wakeUpTimer.cancel();
-}
-
-boost::asio::awaitable<AttemptEnd> Exchange::exchangeWith(std::shared_ptr<Attempt> attempt)
-{
-    const ingress::UpstreamReport &upstream = attempt->upstream->report;
-    attempt->connection = m_core.connections.take(upstream.id, !m_route->route.idempotent, http::now());
-    if (!attempt->connection) {
-        if (attempt->upstream->openConnections >= m_core.connectionLimit(m_service)) {
-            co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
-        }
-        attempt->connection = std::make_shared<http::Connection>(m_core.context);
-        ++attempt->upstream->openConnections;
-        attempt->connection->countToken = std::shared_ptr<void>(nullptr, [upstream = attempt->upstream](void *) {
-            --upstream->openConnections;
-        });
-        attempt->connection->readDeadline.set(std::min<base::Duration>(s_connectTimeout, m_deadline - http::now()));
-        const auto endpoint = http::parseEndpoint(upstream.address);
-        const http::ErrorCode error = co_await attempt->connection->connect(endpoint);
-        if (error || attempt->aborted) {
-            attempt->connection->close();
-            co_return AttemptEnd{AttemptVerdict::Unreachable, false, true, std::nullopt};
-        }
-        enableDeadPeerDetection(*attempt->connection, m_core.connections.options().unacknowledgedTimeout, m_core.connections.options().keepAliveSeconds);
-        m_core.metrics.increment("trefoilstile_upstream_connections_opened_total", {{"service", m_service}});
-    }
-    // The state of the upstream may have changed while the connection was established.
-    const base::TimePoint now = http::now();
-    if (!m_core.upstreamTable.usable(*attempt->upstream) || m_core.upstreamTable.quiet(*attempt->upstream, now) || m_deadline <= now) {
-        attempt->connection->close();
-        co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
-    }
-    attempt->connection->readDeadline.set(m_deadline - now);
-    const std::string head = requestHead(*attempt, now);
-    std::vector<boost::asio::const_buffer> buffers;
-    buffers.push_back(boost::asio::buffer(head));
-    buffers.push_back(boost::asio::buffer(m_request.body));
-    std::uint64_t written = 0;
-    const http::ErrorCode error = co_await attempt->connection->write(std::move(buffers), m_deadline - now, written);
-    if (error) {
-        attempt->connection->close();
-        co_return AttemptEnd{AttemptVerdict::Broken, written > 0, written == 0, std::nullopt};
-    }
-    AttemptEnd end = co_await readResponse(attempt);
-    end.reached = true;
-    co_return end;
-}
-
-boost::asio::awaitable<AttemptEnd> Exchange::readResponse(std::shared_ptr<Attempt> attempt)
-{
-    for (int stray = 0; stray <= s_maximumStrayResponses; ++stray) {
-        http::ResponseReader reader(attempt->connection, m_request.method == "HEAD");
-        http::ResponseHead head;
-        const bool headRead = co_await reader.readHead(head);
-        if (!headRead) {
-            break;
-        }
-        applyUpstreamFields(*attempt, head);
-        ResponseBody body(m_core.responseBudget);
-        if (!body.reserve(m_request.method == "HEAD" ? 0 : head.contentLength.value_or(0))) {
-            logGivenUp(*attempt, head.contentLength.value_or(0));
-            break;
-        }
-        char chunk[http::s_bodyChunk];
-        http::BodyRead state = http::BodyRead::Data;
-        bool fits = true;
-        while (state == http::BodyRead::Data && fits) {
-            std::size_t count = 0;
-            state = co_await reader.readBody(chunk, count);
-            fits = body.append({chunk, count});
-        }
-        if (!fits) {
-            logGivenUp(*attempt, body.size());
-        }
-        if (state != http::BodyRead::End || !fits) {
-            break;
-        }
-        const std::string *id = http::findHeader(head.headers, m_core.names.requestId);
-        if (id != nullptr && *id != m_id) {
-            continue; // a late response to an earlier request on this connection: skip it
-        }
-        if (reader.reusable()) {
-            const std::string *keepAlive = http::findHeader(head.headers, "Keep-Alive");
-            attempt->connection->readDeadline.clear();
-            m_core.connections.keep(attempt->upstream->report.id, attempt->connection, keepAlive, http::now());
-        } else {
-            attempt->connection->close();
-        }
-        co_return interpret(std::move(head), std::move(body));
-    }
-    attempt->connection->close();
-    co_return AttemptEnd{AttemptVerdict::Broken, true, false, std::nullopt};
-}
-
-void Exchange::applyUpstreamFields(Attempt &attempt, const http::ResponseHead &head) const
-{
-    if (head.status == 421) {
-        return; // sent by another upstream at the address
-    }
-    const base::TimePoint now = http::now();
-    ingress::Upstream &upstream = *attempt.upstream;
-    if (const std::string *load = http::findHeader(head.headers, m_core.names.load)) {
-        if (const auto figure = parseLoad(*load)) {
-            m_core.upstreamTable.applyReportedLoad(upstream, *figure, now);
-        }
-    }
-    const std::string *leaving = http::findHeader(head.headers, m_core.names.leaving);
-    if (leaving != nullptr && *leaving == "1" && !upstream.outOfService.has(ingress::OutOfServiceReason::Leaving)) {
-        m_core.upstreamTable.leavingAnnounced(upstream, now);
-        LogLine line("upstream");
-        line.text("upstream", upstream.report.id).text("state", "leaving");
-        m_core.log.write(line, now);
-    }
-    const std::string *pause = head.status == 503 ? http::findHeader(head.headers, "Retry-After") : nullptr;
-    if (const auto duration = pause == nullptr ? std::nullopt : http::parseRetryAfter(*pause)) {
-        m_core.upstreamTable.quietRequested(upstream, *duration, now);
-        m_core.metrics.increment("trefoilstile_upstream_pauses_total", {{"service", m_service}});
-    }
-}
-
-AttemptEnd Exchange::interpret(http::ResponseHead head, ResponseBody body) const
-{
-    AttemptEnd end{AttemptVerdict::Broken, true, false, std::nullopt};
-    if (http::findHeader(head.headers, m_core.names.notRun) != nullptr || head.status == 421) {
-        end.verdict = head.status == 421 ? AttemptVerdict::Misdirected : AttemptVerdict::Shed;
-        end.provedNotRun = true;
-        return end;
-    }
-    const bool genuine = http::findHeader(head.headers, m_core.names.signature) != nullptr && http::findHeader(head.headers, m_core.names.requestId) != nullptr;
-    if (!genuine || http::findHeader(head.headers, "Content-Encoding") != nullptr) {
-        return end;
-    }
-    end.verdict = head.status >= 500 ? AttemptVerdict::Broken : AttemptVerdict::Served;
-    CallerResponse response;
-    response.status = head.status;
-    response.reason = std::move(head.reason);
-    response.headers = std::move(head.headers);
-    http::removeHopByHop(response.headers);
-    response.body = body.takeText();
-    response.memory = body.takeShare();
-    end.response = std::move(response);
-    return end;
-}
-
-std::string Exchange::requestHead(const Attempt &attempt, base::TimePoint now) const
-{
-    std::string head = fmt::format("{} {} HTTP/1.1\r\n", m_request.method, m_request.target);
-    http::Headers headers = m_request.headers;
-    http::removeHopByHop(headers);
-    http::removeHeader(headers, m_core.names.timeLeft);
-    http::removeHeader(headers, m_core.names.expectedUpstream);
-    http::appendFields(head, headers);
-    http::appendField(head, m_core.names.timeLeft, std::to_string(std::max<std::int64_t>(1, base::toMilliseconds(m_deadline - now))));
-    http::appendField(head, m_core.names.expectedUpstream, attempt.upstream->report.id);
-    if (sendsLength(m_request)) {
-        http::appendField(head, "Content-Length", std::to_string(m_request.body.size()));
-    }
-    head += "\r\n";
-    return head;
-}
-
 } // namespace trefoilstile::proxy
