Serve client accounts: keys, withdrawal, regions

Keys were forwarded to upstreams, no account was named, and keys that no configuration holds were served.

A request on a private route without a key of an account gets 401; the account's name is set for upstreams and the key removed. The regions of the route and the account both bind.

One check right before the bytes of an attempt leave decides whether it may still be written: not cancelled, before the deadline, upstream in use, key valid.

--- a/include/trefoilstile/http/message.hpp
+++ b/include/trefoilstile/http/message.hpp
@@ -57,6 +57,9 @@
 /// decimal number.
 std::optional<base::Duration> parseRetryAfter(std::string_view value);
 
+/// Token of a `Bearer` authorization value; nothing for another scheme or without a token.
+std::optional<std::string_view> bearerToken(std::string_view value);
+
 /// `Host` value in lower case without its port; nothing if it is malformed.
 std::optional<std::string> hostWithoutPort(std::string_view value);
 
--- a/include/trefoilstile/ingress/configuration.hpp
+++ b/include/trefoilstile/ingress/configuration.hpp
@@ -1,6 +1,7 @@
-// Routes, services and caller limits that the operator configures for an entry instance.
+// Routes, services, client accounts and caller limits that the operator configures for an entry instance.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -19,6 +20,13 @@
     friend bool operator==(const ServiceShare &, const ServiceShare &) = default;
 };
 
+/// Whether requests on a route need the API key of a client account.
+enum class RouteAccess : std::uint8_t {
+    Unspecified, ///< the route does not say; see `AccountIndex::requiresAccount`
+    Public,
+    Account,
+};
+
 struct Route {
     std::string name;
     std::string host; ///< lower case, without port
@@ -30,6 +38,20 @@
     std::uint32_t maximumAttempts = 1; ///< maximum number of upstreams that one request is sent to
     std::vector<ServiceShare> shares; ///< must not be empty
     std::vector<std::string> homeRegions; ///< regions that may serve the route; empty means all
+    RouteAccess access = RouteAccess::Unspecified;
+};
+
+/// SHA-256 digest of an API key.
+using KeyDigest = std::array<std::uint8_t, 32>;
+
+/// A customer whose callers identify themselves by API keys.
+struct Account {
+    std::string name;
+    std::vector<KeyDigest> keys;
+    std::uint32_t priority{}; ///< 0 is the most urgent; compared before the priority of the route
+    double requestsPerSecond{}; ///< quota over all instances; 0 means no quota
+    double burst{}; ///< requests beyond the rate, in each quota window
+    std::vector<std::string> homeRegions; ///< regions that may serve the account; empty means all
 };
 
 struct Service {
@@ -51,7 +73,10 @@
     std::uint64_t version{}; ///< increases with each change; 0 means no configuration
     std::vector<Route> routes;
     std::map<std::string, Service, std::less<>> services;
+    std::vector<Account> accounts;
     CallerLimits limits;
+    /// Entries that could not be read, each as its path and the error. The other entries are in effect.
+    std::vector<std::string> unreadable;
 };
 
 } // namespace trefoilstile::ingress
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -98,6 +98,7 @@
     std::uint64_t key{}; ///< hash of the affinity key, or random without one
     std::span<const Upstream *const> excluded; ///< upstreams that were tried before
     base::Duration timeLeft{}; ///< until the deadline of the caller or the route
+    const Account *account = nullptr; ///< account of the caller; null without one
 };
 
 struct PlacementResult {
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -10,6 +10,7 @@
 
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/http/request_reader.hpp"
+#include "trefoilstile/ingress/account_index.hpp"
 #include "trefoilstile/ingress/configuration.hpp"
 #include "trefoilstile/ingress/fleet_limits.hpp"
 #include "trefoilstile/ingress/instance_capacity.hpp"
@@ -59,6 +60,7 @@
     metrics::Registry metrics;
     ingress::Configuration configuration;
     std::unique_ptr<ingress::RouteIndex> routes; ///< null until a configuration is in effect
+    std::unique_ptr<ingress::AccountIndex> accounts; ///< null until a configuration is in effect
     ingress::UpstreamTable upstreamTable;
     ingress::Placement placement;
     ingress::MemberCount members; ///< instances in all failure domains
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -71,6 +71,16 @@
     /// Determines route, deadline and service; returns a response if the request cannot be attempted.
     std::optional<CallerResponse> prepare();
 
+    /// Determines the caller's account; returns a response if the request needs an account and has no valid key.
+    std::optional<CallerResponse> identify();
+
+    /// True if the request belongs to an account whose key the configuration in effect does not hold any more.
+    bool keyWithdrawn() const;
+
+    /// Why the attempt must not be written any more, or an empty text. Checked right before its bytes leave, because everything
+    /// that the placement relied on may have changed while the connection was established.
+    std::string_view writeObstacle(const Attempt &attempt, base::TimePoint now) const;
+
     /// Handles the results of attempts that have ended since the last call; returns a response that is final.
     std::optional<CallerResponse> processEndedAttempts();
 
@@ -110,6 +120,8 @@
     std::string m_service;
     std::uint64_t m_key{}; ///< hash of the object key; random without one
     std::shared_ptr<ingress::IndexedRoute> m_route;
+    ingress::KeyDigest m_keyDigest{}; ///< of the API key, if `m_account` is set
+    std::shared_ptr<const ingress::Account> m_account; ///< null on routes that need no account
     std::vector<std::shared_ptr<Attempt>> m_attempts;
     std::optional<CallerResponse> m_failureResponse; ///< 5xx response of an upstream; sent if no retry succeeds
     std::uint32_t m_sentAttempts{}; ///< ended attempts that reached an upstream
--- a/include/trefoilstile/proxy/table_rows.hpp
+++ b/include/trefoilstile/proxy/table_rows.hpp
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <exception>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/proxy/entry_core.hpp"
@@ -83,14 +85,30 @@
             ingress::Configuration configuration = Platform::decodeConfiguration(row.value);
             const std::uint64_t version = configuration.version;
             const std::size_t routes = configuration.routes.size();
+            const std::size_t accounts = configuration.accounts.size();
+            const std::vector<std::string> unreadable = configuration.unreadable;
             const bool applied = m_core.applyConfiguration(std::move(configuration), now);
-            line.number("version", static_cast<std::int64_t>(version)).number("routes", static_cast<std::int64_t>(routes)).flag("applied", applied);
+            line.number("version", static_cast<std::int64_t>(version)).number("routes", static_cast<std::int64_t>(routes));
+            line.number("accounts", static_cast<std::int64_t>(accounts)).flag("applied", applied);
+            if (applied) {
+                logUnreadable(unreadable, version, now);
+            }
         } catch (const std::exception &error) {
             line.flag("applied", false).text("error", error.what()).number("kept", static_cast<std::int64_t>(m_core.configuration.version));
         }
         m_core.log.write(line, now, true);
     }
 
+    void logUnreadable(std::span<const std::string> entries, std::uint64_t version, base::TimePoint now)
+    {
+        m_core.metrics.set("trefoilstile_configuration_unreadable_entries", {}, static_cast<double>(entries.size()));
+        for (const std::string &entry : entries) {
+            LogLine line("configuration_entry");
+            line.number("version", static_cast<std::int64_t>(version)).text("error", entry);
+            m_core.log.write(line, now, true);
+        }
+    }
+
     EntryCore &m_core;
     std::set<std::string, std::less<>> m_evacuated; ///< failure domains
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -129,6 +129,22 @@
     return base::fromSeconds(std::min(seconds, longest));
 }
 
+std::optional<std::string_view> bearerToken(std::string_view value)
+{
+    constexpr std::string_view scheme = "Bearer";
+    const std::size_t schemeEnd = value.find(' ');
+    if (schemeEnd == std::string_view::npos || !equalsIgnoreCase(value.substr(0, schemeEnd), scheme)) {
+        return std::nullopt;
+    }
+    const std::size_t first = value.find_first_not_of(' ', schemeEnd);
+    if (first == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view token = value.substr(first, value.find_last_not_of(" \t") + 1 - first);
+    const bool single = token.find_first_of(" \t,") == std::string_view::npos;
+    return single ? std::optional(token) : std::nullopt;
+}
+
 std::optional<std::string> hostWithoutPort(std::string_view value)
 {
     std::string_view host = value;
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -22,9 +22,15 @@
     return static_cast<double>(base::mixBits(key ^ 0x5bd1e995c1a4f36bULL) >> 11U) * scale;
 }
 
-bool mayServe(const Route &route, const std::string &region)
+bool isHome(std::span<const std::string> homeRegions, std::string_view region)
 {
-    return route.homeRegions.empty() || std::find(route.homeRegions.begin(), route.homeRegions.end(), region) != route.homeRegions.end();
+    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+}
+
+/// The regions of the route and those of the account both bind.
+bool mayServe(const PlacementRequest &request, std::string_view region)
+{
+    return isHome(request.route.homeRegions, region) && (request.account == nullptr || isHome(request.account->homeRegions, region));
 }
 
 /// Minimum of a function over the items, which must not be empty.
@@ -223,7 +229,7 @@
     std::vector<const RegionGroup *> plannedGroups; // at most one
     std::vector<const RegionGroup *> otherGroups;
     for (const auto &[region, group] : service.groups) {
-        if (mayServe(request.route, region)) {
+        if (mayServe(request, region)) {
             (region == planned ? plannedGroups : otherGroups).push_back(&group);
         }
     }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -50,6 +50,10 @@
     case 400:
         response.reason = "Bad Request";
         break;
+    case 401:
+        response.reason = "Unauthorized";
+        response.headers.push_back({"WWW-Authenticate", "Bearer"});
+        break;
     case 404:
         response.reason = "Not Found";
         break;
@@ -107,6 +111,9 @@
         m_outcome = "no_route";
         return localResponse(404);
     }
+    if (auto refusal = identify()) {
+        return refusal;
+    }
     base::Duration timeAllowed = m_route->route.timeout;
     if (const std::string *timeLeft = http::findHeader(m_request.headers, m_core.names.timeLeft)) {
         if (const auto milliseconds = http::parseNumber(*timeLeft)) {
@@ -126,6 +133,31 @@
     return std::nullopt;
 }
 
+std::optional<CallerResponse> Exchange::identify()
+{
+    if (!m_core.accounts->requiresAccount(m_route->route)) {
+        return std::nullopt;
+    }
+    const std::string *credentials = http::findHeader(m_request.headers, m_core.names.credentials);
+    const auto key = credentials == nullptr ? std::nullopt : http::bearerToken(*credentials);
+    if (!key) {
+        m_outcome = "no_key";
+        return localResponse(401);
+    }
+    m_keyDigest = ingress::digestOfKey(*key);
+    m_account = m_core.accounts->find(m_keyDigest);
+    if (!m_account) {
+        m_outcome = "unknown_key";
+        return localResponse(401);
+    }
+    return std::nullopt;
+}
+
+bool Exchange::keyWithdrawn() const
+{
+    return m_account && !m_core.accounts->find(m_keyDigest);
+}
+
 boost::asio::awaitable<std::optional<CallerResponse>> Exchange::run()
 {
     const auto self = shared_from_this();
@@ -223,6 +255,9 @@
 {
     m_hedgeAt = base::TimePoint::max();
     const base::TimePoint now = http::now();
+    if (keyWithdrawn()) {
+        return;
+    }
     const ingress::PlacementResult placed = place(now);
     // An upstream without a free slot would not respond sooner.
     const bool free = placed.outcome == ingress::PlacementOutcome::Chosen && placed.load + 1 <= placed.upstream->report.slots;
@@ -237,13 +272,17 @@
     for (const auto &attempt : m_attempts) {
         tried.push_back(attempt->upstream.get());
     }
-    const ingress::PlacementRequest request{m_route->route, m_service, m_key, tried, m_deadline - now};
+    const ingress::PlacementRequest request{m_route->route, m_service, m_key, tried, m_deadline - now, m_account.get()};
     return m_core.placement.choose(request, m_core.configuration, now);
 }
 
 std::optional<CallerResponse> Exchange::startAttempt(bool first)
 {
     const base::TimePoint now = http::now();
+    if (keyWithdrawn()) {
+        m_outcome = "withdrawn_key";
+        return m_mayHaveRun ? failRequest(m_outcome) : localResponse(401);
+    }
     if (!first && !mayRetry(now)) {
         return failRequest("no_retry");
     }
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -93,9 +93,9 @@
         enableDeadPeerDetection(*attempt->connection, m_core.connections.options().unacknowledgedTimeout, m_core.connections.options().keepAliveSeconds);
         m_core.metrics.increment("trefoilstile_upstream_connections_opened_total", {{"service", m_service}});
     }
-    // The state of the upstream may have changed while the connection was established.
     const base::TimePoint now = http::now();
-    if (!m_core.upstreamTable.usable(*attempt->upstream) || m_core.upstreamTable.quiet(*attempt->upstream, now) || m_deadline <= now) {
+    if (const std::string_view obstacle = writeObstacle(*attempt, now); !obstacle.empty()) {
+        m_core.metrics.increment("trefoilstile_attempts_not_written_total", {{"why", std::string(obstacle)}});
         attempt->connection->close();
         co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
     }
@@ -115,6 +115,20 @@
     co_return end;
 }
 
+std::string_view Exchange::writeObstacle(const Attempt &attempt, base::TimePoint now) const
+{
+    if (m_cancelled || attempt.aborted) {
+        return "cancelled";
+    }
+    if (m_deadline <= now) {
+        return "deadline";
+    }
+    if (!m_core.upstreamTable.usable(*attempt.upstream) || m_core.upstreamTable.quiet(*attempt.upstream, now)) {
+        return "upstream";
+    }
+    return keyWithdrawn() ? "withdrawn_key" : "";
+}
+
 boost::asio::awaitable<AttemptEnd> Exchange::readResponse(std::shared_ptr<Attempt> attempt)
 {
     for (int stray = 0; stray <= s_maximumStrayResponses; ++stray) {
@@ -218,9 +232,16 @@
     http::removeHopByHop(headers);
     http::removeHeader(headers, m_core.names.timeLeft);
     http::removeHeader(headers, m_core.names.expectedUpstream);
+    if (m_core.accounts->inUse()) {
+        http::removeHeader(headers, m_core.names.credentials);
+        http::removeHeader(headers, m_core.names.account);
+    }
     http::appendFields(head, headers);
     http::appendField(head, m_core.names.timeLeft, std::to_string(std::max<std::int64_t>(1, base::toMilliseconds(m_deadline - now))));
     http::appendField(head, m_core.names.expectedUpstream, attempt.upstream->report.id);
+    if (m_account) {
+        http::appendField(head, m_core.names.account, m_account->name);
+    }
     if (sendsLength(m_request)) {
         http::appendField(head, "Content-Length", std::to_string(m_request.body.size()));
     }
