Explain where a request would go now, without sending it

Cause: operators could see afterwards in the log why a request went to an upstream, but not ask before.

Change: `trefoilctl explain-request` asks an entry process at its metrics address. The answer is made on a copy of the placement, so nothing is sent, counted or changed; a key leaves the tool as a digest only.

--- a/include/trefoilstile/ctl/arguments.hpp
+++ b/include/trefoilstile/ctl/arguments.hpp
@@ -15,7 +15,7 @@
 namespace trefoilstile::ctl
 {
 
-enum class Command : std::uint8_t { Validate, Apply, Promote, Drain, Undrain, Status, History, Explain };
+enum class Command : std::uint8_t { Validate, Apply, Promote, Drain, Undrain, Status, History, Explain, ExplainRequest };
 
 struct Arguments {
     Command command = Command::Status;
@@ -34,6 +34,12 @@
     engine::Drain drain;
     std::string service;
     std::string client;
+    std::string host;
+    std::string path;
+    std::string object;
+    std::string account;
+    std::string keyFile; ///< file with an API key; `-`: standard input
+    std::int64_t deadlineMs = 0; ///< 0: the timeout of the route
 };
 
 /// Text to print instead of running a command.
--- a/include/trefoilstile/ctl/commands.hpp
+++ b/include/trefoilstile/ctl/commands.hpp
@@ -1,6 +1,7 @@
 // The commands of `trefoilctl`, over a store and operator ports that are passed in.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -51,4 +52,17 @@
 /// Why a caller is steered where it is, as one instance explains it.
 Report explain(Context &context, std::string_view service, std::string_view client);
 
+/// A request that an entry process is asked about.
+struct RequestQuery {
+    std::string host;
+    std::string path;
+    std::string object;
+    std::string account;
+    std::string key; ///< API key in place of the account's name; only its digest is sent
+    std::int64_t deadlineMs = 0; ///< 0: the timeout of the route
+};
+
+/// Where the first entry process that answers would send a request now, and why. Nothing is sent to an upstream.
+Report explainRequest(Context &context, const RequestQuery &query);
+
 } // namespace trefoilstile::ctl
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -101,6 +101,9 @@
     const Account *account = nullptr; ///< account of the caller; null without one
 };
 
+/// True if upstreams of the region may serve the request. The regions of the route and those of the account both bind.
+bool mayServe(const PlacementRequest &request, std::string_view region);
+
 struct PlacementResult {
     PlacementOutcome outcome = PlacementOutcome::NoUpstream;
     PlacementReason reason = PlacementReason::None;
@@ -113,7 +116,19 @@
     double leastLoadPerSlot{}; ///< minimum over the candidates
 };
 
-/// Placement decisions of one entry instance.
+/// What is known of an upstream that a request may be sent to, for operators.
+struct CandidateDescription {
+    UpstreamTable::Pointer upstream;
+    std::size_t rank{}; ///< in its region, for the key of the request
+    double load{}; ///< estimated requests at the upstream
+    base::Duration wait{}; ///< expected wait for a slot
+    base::Duration cost{}; ///< `wait` plus the expected extra time of cold work
+    bool warm = false;
+    bool avoided = false; ///< because of failures
+    bool quiet = false; ///< it has asked for a pause
+};
+
+/// Placement decisions of one entry instance. Copies decide independently, on the same upstreams.
 class Placement
 {
 public:
@@ -149,6 +164,10 @@
     /// Chooses an upstream for the request.
     PlacementResult choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now);
 
+    /// The first candidates of each region that may serve the request, by region and rank.
+    /// @param limit maximum number for each region
+    std::vector<CandidateDescription> describe(const PlacementRequest &request, std::size_t limit, base::TimePoint now);
+
     /// Shares of the regions in the requests to a service; empty if the service is unknown.
     std::map<std::string, double, std::less<>> shares(std::string_view service) const;
 
--- a/include/trefoilstile/ingress/route_index.hpp
+++ b/include/trefoilstile/ingress/route_index.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -29,6 +30,9 @@
     double m_total{};
 };
 
+/// Hash of an object for the choice of an upstream. Objects of different routes are independent.
+std::uint64_t objectHash(const Route &route, std::string_view objectKey);
+
 /// A route with the state that the instance keeps for it.
 struct IndexedRoute {
     explicit IndexedRoute(Route description)
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -32,6 +32,7 @@
 #include "trefoilstile/proxy/followed_table.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
 #include "trefoilstile/proxy/platform_adapter.hpp"
+#include "trefoilstile/proxy/request_explainer.hpp"
 #include "trefoilstile/proxy/table_rows.hpp"
 
 namespace trefoilstile::proxy
@@ -120,6 +121,11 @@
             setGauges();
             return http::OperatorResponse{200, "text/plain; version=0.0.4", m_core.metrics.prometheusText()};
         });
+        m_metrics.handle("/v1/explain-request", [this](std::string_view query) {
+            const auto request = parseExplainedRequest(query);
+            return request ? http::OperatorResponse{200, "application/json", explainRequest(m_core, *request, http::now())}
+                           : http::OperatorResponse{400, "application/json", R"({"error":"host, path and well-formed values are needed"})"};
+        });
         forEachTable([this](auto &table) {
             m_feedServer.addTable(table.name(), table.served([this] {
                 return m_core.stop.begun();
--- a/src/ctl/arguments.cpp
+++ b/src/ctl/arguments.cpp
@@ -73,6 +73,13 @@
     CLI::App *explain = app.add_subcommand("explain", "show why a caller is steered where it is");
     explain->add_option("--service", arguments.service, "service")->required();
     explain->add_option("--client", arguments.client, "IP address of the caller")->required();
+    CLI::App *request = app.add_subcommand("explain-request", "show where an entry process would send a request now, and why, without sending it");
+    request->add_option("--host", arguments.host, "host of the request")->required();
+    request->add_option("--path", arguments.path, "path of the request")->required();
+    request->add_option("--object", arguments.object, "key of the object that the request concerns");
+    CLI::Option *account = request->add_option("--account", arguments.account, "name of the client account");
+    request->add_option("--key-file", arguments.keyFile, "file with an API key of the account, - for standard input")->excludes(account);
+    request->add_option("--deadline-ms", arguments.deadlineMs, "time that the caller waits")->check(CLI::Range(std::int64_t{1}, std::int64_t{3'600'000}));
     for (CLI::App *command : app.get_subcommands([](CLI::App *) {
              return true;
          })) {
@@ -90,7 +97,8 @@
         {"undrain", Command::Undrain},
         {"status", Command::Status},
         {"history", Command::History},
-        {"explain", Command::Explain}};
+        {"explain", Command::Explain},
+        {"explain-request", Command::ExplainRequest}};
     return commands.at(name);
 }
 
@@ -157,7 +165,7 @@
     for (const std::string &text : raw.operators) {
         arguments.operators.push_back(endpoint("--operator", text));
     }
-    const bool needsPorts = arguments.command == Command::Status || arguments.command == Command::Explain;
+    const bool needsPorts = arguments.command == Command::Status || arguments.command == Command::Explain || arguments.command == Command::ExplainRequest;
     require(arguments.platform.has_value() || needsPorts || arguments.command == Command::Validate, "--platform");
     require(!arguments.operators.empty() || !needsPorts, "--operator");
     if (arguments.command == Command::History) {
@@ -166,6 +174,9 @@
     if (arguments.command == Command::Explain && !base::parseIpAddress(arguments.client)) {
         throw InvalidArgument{fmt::format("--client {}: must be an IP address", arguments.client)};
     }
+    if (arguments.command == Command::ExplainRequest && !arguments.path.starts_with('/')) {
+        throw InvalidArgument{fmt::format("--path {}: must begin with a slash", arguments.path)};
+    }
     checkChange(arguments, raw);
     if (arguments.submitter.empty()) {
         const char *login = std::getenv("USER");
--- a/src/ctl/arguments_test.cpp
+++ b/src/ctl/arguments_test.cpp
@@ -77,6 +77,15 @@
     BOOST_TEST(refusal({"status"}).starts_with("--operator: "));
     BOOST_TEST(refusal({"status", "--operator", "127.0.0.1"}).starts_with("--operator 127.0.0.1: "));
     BOOST_TEST(refusal({"explain", "--service", "s", "--client", "x", "--operator", "127.0.0.1:1"}).starts_with("--client x: "));
+    const std::vector<std::string> request{"explain-request", "--operator", "127.0.0.1:1", "--host", "h", "--path"};
+    const auto with = [&request](std::vector<std::string> further) {
+        further.insert(further.begin(), request.begin(), request.end());
+        return refusal(further);
+    };
+    BOOST_TEST(with({"x"}).starts_with("--path x: "));
+    BOOST_TEST(with({"/x", "--deadline-ms", "0"}) != "accepted");
+    BOOST_TEST(with({"/x", "--account", "a", "--key-file", "f"}) != "accepted");
+    BOOST_TEST(refusal({"explain-request", "--host", "h", "--path", "/x"}).starts_with("--operator: "));
     BOOST_TEST(refusal({"history", platform, "--env", "trial", "--wait-ms", "-1"}) != "accepted");
     BOOST_TEST(refusal({"history", platform, "--env", "trial", "--output", "xml"}) != "accepted");
     BOOST_TEST((std::get<UsageText>(parseArguments({"--help"})).status == ExitStatus::Done));
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "command_support.hpp"
+#include "trefoilstile/document/parse.hpp"
 #include "trefoilstile/tablestore/document_store.hpp"
 #include "trefoilstile/tablestore/http_connection.hpp"
 
@@ -214,10 +215,12 @@
     return report;
 }
 
-Report explain(Context &context, std::string_view service, std::string_view client)
+namespace
+{
+
+/// Asks the operator ports one after the other; the answer of the first one that knows is the explanation.
+Report askPorts(Context &context, Report report, const std::string &target)
 {
-    Report report = newReport("explain");
-    const std::string target = fmt::format("/v1/explain?service={}&client={}", tablestore::percentEncoded(service), tablestore::percentEncoded(client));
     for (std::size_t index = 0; index < context.ports.count(); ++index) {
         const PortAnswer answer = context.ports.get(index, target, s_portLimit);
         if (answer.status == 0 || answer.status >= 500) {
@@ -235,4 +238,27 @@
     return unknown(std::move(report), "no operator port answered");
 }
 
+} // namespace
+
+Report explain(Context &context, std::string_view service, std::string_view client)
+{
+    const std::string target = fmt::format("/v1/explain?service={}&client={}", tablestore::percentEncoded(service), tablestore::percentEncoded(client));
+    return askPorts(context, newReport("explain"), target);
+}
+
+Report explainRequest(Context &context, const RequestQuery &query)
+{
+    std::string target = fmt::format("/v1/explain-request?host={}&path={}", tablestore::percentEncoded(query.host), tablestore::percentEncoded(query.path));
+    const auto append = [&target](std::string_view name, const std::string &value) {
+        if (!value.empty()) {
+            target += fmt::format("&{}={}", name, tablestore::percentEncoded(value));
+        }
+    };
+    append("object", query.object);
+    append("account", query.account);
+    append("key_digest", query.key.empty() ? std::string() : document::contentHash(query.key));
+    append("deadline_ms", query.deadlineMs == 0 ? std::string() : std::to_string(query.deadlineMs));
+    return askPorts(context, newReport("explain-request"), target);
+}
+
 } // namespace trefoilstile::ctl
--- a/src/ctl/commands_test.cpp
+++ b/src/ctl/commands_test.cpp
@@ -388,6 +388,19 @@
     BOOST_TEST(explain(context, "x", "10.0.0.1").status == ExitStatus::Unknown);
 }
 
+// Guards against an API key that leaves the tool, and against values that are not encoded for the query.
+BOOST_AUTO_TEST_CASE(requestIsExplainedWithoutItsKey)
+{
+    ports.answers = {{"127.0.0.1:1", 200, R"({"services":[]})"}};
+    BOOST_TEST(explainRequest(context, {"a.example", "/reads/1 x", "k&1", "", "secret", 900}).status == ExitStatus::Done);
+    BOOST_TEST(ports.targets.back()
+        == "/v1/explain-request?host=a.example&path=%2Freads%2F1%20x&object=k%261&key_digest=" + document::contentHash("secret") + "&deadline_ms=900");
+    explainRequest(context, {"a.example", "/", "", "club", "", 0});
+    BOOST_TEST(ports.targets.back() == "/v1/explain-request?host=a.example&path=%2F&account=club");
+    ports.answers = {{"127.0.0.1:1", 400, R"({"error":"x"})"}};
+    BOOST_TEST(explainRequest(context, {"a.example", "/", "", "", "", 0}).status == ExitStatus::Rejected);
+}
+
 // JSON output must stay JSON whatever bytes a file name or another instance contributes.
 BOOST_AUTO_TEST_CASE(output)
 {
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,9 +1,11 @@
 // Program `trefoilctl`: runs one command over HTTP and prints its report.
 
+#include <algorithm>
 #include <chrono>
 #include <ctime>
 #include <exception>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <random>
 #include <thread>
@@ -82,15 +84,27 @@
     std::vector<Port> m_ports;
 };
 
+std::optional<std::string> readAll(std::istream &stream)
+{
+    std::string contents{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+    return stream.bad() ? std::nullopt : std::optional(std::move(contents));
+}
+
 /// Contents of the file, or nothing if it cannot be read.
 std::optional<std::string> readFile(const std::string &name)
 {
     std::ifstream file(name, std::ios::binary);
-    if (!file) {
-        return std::nullopt;
+    return file ? readAll(file) : std::nullopt;
+}
+
+/// API key in the first line of the file, or of standard input for `-`; nothing if it cannot be read.
+std::optional<std::string> readKey(const std::string &name)
+{
+    std::optional<std::string> contents = name == "-" ? readAll(std::cin) : readFile(name);
+    if (contents) {
+        contents->resize(std::min(contents->find_first_of("\r\n"), contents->size()));
     }
-    std::string contents{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    return file.bad() ? std::nullopt : std::optional(std::move(contents));
+    return contents;
 }
 
 ctl::Report run(ctl::Context &context, const ctl::Arguments &arguments, const std::string &document)
@@ -113,6 +127,8 @@
         return ctl::history(context, arguments.environment);
     case ctl::Command::Explain:
         return ctl::explain(context, arguments.service, arguments.client);
+    case ctl::Command::ExplainRequest:
+        return ctl::explainRequest(context, {arguments.host, arguments.path, arguments.object, arguments.account, document, arguments.deadlineMs});
     }
     return {};
 }
@@ -120,10 +136,12 @@
 int runWith(const ctl::Arguments &arguments)
 {
     std::string document;
-    if (!arguments.file.empty()) {
-        std::optional<std::string> contents = readFile(arguments.file);
+    const bool key = arguments.command == ctl::Command::ExplainRequest;
+    const std::string &file = key ? arguments.keyFile : arguments.file;
+    if (!file.empty()) {
+        std::optional<std::string> contents = key ? readKey(file) : readFile(file);
         if (!contents) {
-            fmt::print(stderr, "file {}: cannot be read\n", arguments.file);
+            fmt::print(stderr, "file {}: cannot be read\n", file);
             return static_cast<int>(ctl::ExitStatus::Usage);
         }
         document = std::move(*contents);
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -27,12 +27,6 @@
     return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
 }
 
-/// The regions of the route and those of the account both bind.
-bool mayServe(const PlacementRequest &request, std::string_view region)
-{
-    return isHome(request.route.homeRegions, region) && (request.account == nullptr || isHome(request.account->homeRegions, region));
-}
-
 /// Minimum of a function over the items, which must not be empty.
 template<typename Items, typename Value>
 auto minimumOf(const Items &items, Value value)
@@ -46,6 +40,11 @@
 
 } // namespace
 
+bool mayServe(const PlacementRequest &request, std::string_view region)
+{
+    return isHome(request.route.homeRegions, region) && (request.account == nullptr || isHome(request.account->homeRegions, region));
+}
+
 Placement::ServiceState &Placement::state(std::string_view service)
 {
     auto found = m_services.find(service);
--- a/src/ingress/route_index.cpp
+++ b/src/ingress/route_index.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "trefoilstile/base/ids.hpp"
+
 namespace trefoilstile::ingress
 {
 
@@ -31,6 +33,11 @@
     return chosen;
 }
 
+std::uint64_t objectHash(const Route &route, std::string_view objectKey)
+{
+    return base::stableHash(objectKey, base::stableHash(route.prefix));
+}
+
 RouteIndex::RouteIndex(const Configuration &configuration)
 {
     for (const Route &route : configuration.routes) {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -127,7 +127,7 @@
         return localResponse(503, std::chrono::milliseconds(1));
     }
     const std::string *objectKey = http::findHeader(m_request.headers, m_core.names.objectKey);
-    m_key = objectKey == nullptr ? m_core.random.next() : base::stableHash(*objectKey, base::stableHash(m_route->route.prefix));
+    m_key = objectKey == nullptr ? m_core.random.next() : ingress::objectHash(m_route->route, *objectKey);
     m_service = m_route->route.shares[m_route->rotation.next()].service;
     m_core.retryShare(m_service).requestArrived(m_arrivedAt);
     return std::nullopt;
