Spread the ends of polls and end them early after a silent store

Cause: every poll for changes waited 7 s and was abandoned 2 s later.

Calls to the store in a steady state are unchanged: 27 readers with two tables make 54 / 7 s = 7.7 calls a second, 9 instances that are all readers 18 / 7 s = 2.6.

--- a/include/trefoilstile/feed/readers.hpp
+++ b/include/trefoilstile/feed/readers.hpp
@@ -31,6 +31,8 @@
 
 struct Readers {
     bool self = false; ///< this instance is a reader
+    std::size_t rank{}; ///< of this instance among the readers, the same at all instances with equal views; 0 if it is none
+    std::size_t count = 1; ///< readers of the failure domain
     std::vector<std::string> others; ///< addresses of the other readers, the one to follow first; followers differ, so that readers share them evenly
 };
 
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -92,6 +92,7 @@
 private:
     static constexpr base::Duration s_tickPeriod = std::chrono::milliseconds(100);
     static constexpr base::Duration s_reportPeriod = std::chrono::milliseconds(300); ///< shorter than the time constant of the loads
+    static constexpr std::size_t s_tables = 2; ///< that `forEachTable` visits
     static constexpr std::size_t s_maximumLoadsPerReport = 45; ///< fits into one datagram together with `s_maximumLeavingPerReport`
     static constexpr std::size_t s_maximumLeavingPerReport = 25;
     /// After the join, readers are chosen from the registered instances until this share of them is known to run, or the time is
@@ -343,8 +344,9 @@
         const bool known = static_cast<double>(members.size()) >= s_settledShare * static_cast<double>(m_registered.size());
         m_settled = m_settled || known || http::now() >= m_joinedAt + s_settleTime;
         const feed::Readers readers = feed::chooseReaders(m_settled ? members : m_registered, m_core.settings.name);
-        forEachTable([&readers](auto &table) {
-            table.setReaders(readers.self, readers.others);
+        std::size_t number = 0;
+        forEachTable([&](auto &table) {
+            table.setReaders(readers, number++, s_tables);
         });
     }
 
--- a/include/trefoilstile/proxy/followed_table.hpp
+++ b/include/trefoilstile/proxy/followed_table.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -12,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "trefoilstile/feed/lag_monitor.hpp"
+#include "trefoilstile/feed/readers.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/proxy/activity.hpp"
 #include "trefoilstile/proxy/entry_core.hpp"
@@ -53,10 +55,12 @@
         });
     }
 
-    /// Sets who reads the table from the store in this failure domain; see `feed::SourcePolicy::setReaders`.
-    void setReaders(bool self, std::vector<std::string> others)
+    /// Sets who reads the table from the store in this failure domain.
+    /// @param table number of this table among the `tables` that are followed
+    void setReaders(const feed::Readers &readers, std::size_t table, std::size_t tables)
     {
-        m_router.setReaders(self, std::move(others));
+        m_router.setReaders(readers.self, readers.others);
+        m_watch.setPollSlot({readers.rank * tables + table, readers.count * tables});
     }
 
     /// True if this instance reads the table from the store now.
@@ -107,6 +111,11 @@
     /// Fetches the changes that this instance has lacked for too long. Call several times per second.
     void checkLag(base::TimePoint now)
     {
+        if (m_caughtUpAt && now >= *m_caughtUpAt + s_pollTolerance) {
+            // The store should have answered a read that was pending then with the same changes.
+            m_store.abandonPolls(m_name, *m_caughtUpAt);
+            m_caughtUpAt.reset();
+        }
         const auto address = m_watch.copy().complete() ? m_lag.due(m_watch.copy().version(), now) : std::nullopt;
         if (address) {
             spawnOnce(
@@ -143,6 +152,9 @@
     }
 
 private:
+    /// How long after other instances the store may answer a pending read. A slow store and a busy instance take some hundred milliseconds.
+    static constexpr base::Duration s_pollTolerance = std::chrono::seconds(1);
+
     boost::asio::awaitable<void> catchUp(std::string address)
     {
         const std::uint64_t known = m_watch.copy().version();
@@ -160,6 +172,9 @@
             .number("rows", static_cast<std::int64_t>(result->rows.size()));
         m_core.log.write(line, http::now());
         m_core.metrics.increment("trefoilstile_catch_ups_total", {{"table", m_name}, {"source", fromInstance ? "instance" : "store"}});
+        if (!result->rows.empty() && !m_caughtUpAt) {
+            m_caughtUpAt = http::now();
+        }
         m_watch.merge(std::move(*result));
     }
 
@@ -170,6 +185,7 @@
     FeedRouter<Store> m_router;
     TableWatch<FeedRouter<Store>, Observer> m_watch;
     feed::LagMonitor m_lag;
+    std::optional<base::TimePoint> m_caughtUpAt; ///< changes came from elsewhere while a read of changes at the store was pending
     std::uint64_t m_reportedChange{};
     std::string m_loggedSource; ///< in the last log event about the source
 };
--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -22,6 +22,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "trefoilstile/base/random.hpp"
+#include "trefoilstile/feed/poll_wait.hpp"
 #include "trefoilstile/feed/table_copy.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/proxy/row_store.hpp"
@@ -30,10 +31,9 @@
 {
 
 struct TableWatchOptions {
-    /// Time for which the store holds a poll for changes. Long, because the platform charges for each poll. An unresponsive
-    /// path is detected by the keep-alive probes of the connection, but one that acknowledges bytes and then drops them only by
-    /// the timeout of the poll, 2 s after this time.
-    base::Duration pollTime = std::chrono::seconds(7);
+    /// Time for which the store holds a poll for changes. An unresponsive path is detected by the keep-alive probes of the connection,
+    /// but one that acknowledges bytes and then drops them, or a store that has lost the poll, only by the timeout of the poll.
+    feed::PollWaitOptions pollWait;
     /// Pause after changes, so that changes in quick succession are fetched with one poll; doubles up to
     /// `maximumCoalesceDelay` while changes continue.
     base::Duration coalesceDelay = std::chrono::milliseconds(150);
@@ -77,6 +77,7 @@
         , m_table(std::move(table))
         , m_random(seed)
         , m_options(options)
+        , m_pollWait(m_random.next(), options.pollWait)
         , m_backoff(options.initialBackoff)
         , m_coalesceDelay(options.coalesceDelay)
     {
@@ -92,7 +93,7 @@
                 result = co_await m_store.readAll(m_table);
             } else {
                 // While the store is unavailable, the poll does not wait for changes, so that a recovery is detected at once.
-                result = co_await m_store.readChanges(m_table, *m_version, m_available ? m_options.pollTime : base::Duration::zero());
+                result = co_await m_store.readChanges(m_table, *m_version, m_available ? m_pollWait.next() : base::Duration::zero());
             }
             if (m_stopped) {
                 break;
@@ -112,6 +113,12 @@
         }
     }
 
+    /// Sets the position of the polls of this watch among those of the failure domain.
+    void setPollSlot(feed::PollSlot slot)
+    {
+        m_pollWait.setSlot(slot);
+    }
+
     /// Called after each change of `copy` or of the availability of the store. May be empty.
     std::function<void()> changed;
 
@@ -151,6 +158,9 @@
         m_backoff = m_options.initialBackoff;
         const bool hasChanges = !result.rows.empty();
         const bool coalesced = result.coalesced;
+        if (hasChanges || completeRead || !m_available) {
+            m_pollWait.aligned();
+        }
         setAvailable(result.sourceAvailable, "the instance that is followed does not reach the store");
         m_version = std::max(m_version.value_or(0), result.version);
         applyRows(std::move(result), completeRead);
@@ -215,6 +225,7 @@
     std::string m_table;
     base::SplitMix64 m_random;
     TableWatchOptions m_options;
+    feed::PollWait m_pollWait;
     base::Duration m_backoff;
     base::Duration m_coalesceDelay; ///< most recent pause after changes
     std::optional<base::TimePoint> m_lastChange;
--- a/src/feed/readers.cpp
+++ b/src/feed/readers.cpp
@@ -27,7 +27,12 @@
     const std::size_t count = members.size() <= options.smallDomain ? members.size() : options.readers;
     std::vector<base::IncarnationId> chosen = steering::rendezvousChoice(members, "store-reader", count);
     Readers readers;
-    readers.self = std::erase(chosen, own) > 0;
+    readers.count = std::max<std::size_t>(1, chosen.size());
+    if (const auto found = std::find(chosen.begin(), chosen.end(), own); found != chosen.end()) {
+        readers.self = true;
+        readers.rank = static_cast<std::size_t>(found - chosen.begin());
+        chosen.erase(found);
+    }
     std::sort(chosen.begin(), chosen.end(), [own](base::IncarnationId left, base::IncarnationId right) {
         return base::mixBits(own.value ^ left.value) > base::mixBits(own.value ^ right.value);
     });
--- a/src/proxy/table_watch_test.cpp
+++ b/src/proxy/table_watch_test.cpp
@@ -24,6 +24,7 @@
     boost::asio::io_context &context;
     std::deque<StoreResult> results;
     std::vector<std::string> requests;
+    std::vector<base::Duration> waits; ///< of the reads of changes
 
     boost::asio::awaitable<StoreResult> next(std::string request)
     {
@@ -43,6 +44,7 @@
     }
     boost::asio::awaitable<StoreResult> readChanges(std::string, std::uint64_t after, base::Duration wait)
     {
+        waits.push_back(wait);
         return next((wait == base::Duration::zero() ? "at once after " : "after ") + std::to_string(after));
     }
     boost::asio::awaitable<StoreResult> writeIf(std::string, std::string, std::string, std::uint64_t)
@@ -99,19 +101,21 @@
 struct WatchRecord {
     std::vector<std::string> events;
     std::vector<std::string> requests;
+    std::vector<base::Duration> waits;
 };
 
 /// Runs a watch until the store has returned all results.
 WatchRecord runWatch(std::deque<StoreResult> results)
 {
     boost::asio::io_context context;
-    ScriptedStore store{context, std::move(results), {}};
+    ScriptedStore store{context, std::move(results), {}, {}};
     Recorder recorder;
     TableWatchOptions options;
     options.coalesceDelay = 1ms;
     options.initialBackoff = 1ms;
     options.maximumBackoff = 2ms;
     TableWatch<ScriptedStore, Recorder> watch(context, store, recorder, "table", 1, options);
+    watch.setPollSlot({0, 2});
     boost::asio::co_spawn(
         context,
         [&watch]() -> boost::asio::awaitable<void> {
@@ -126,7 +130,7 @@
         },
         boost::asio::detached);
     context.run();
-    return {recorder.events, store.requests};
+    return {recorder.events, store.requests, store.waits};
 }
 
 } // namespace
@@ -180,6 +184,24 @@
     BOOST_TEST((record.events == std::vector<std::string>{"regained", "+a", "read", "lost", "+b", "regained", "lost"}));
 }
 
+// Guards against polls of all instances that end at the same time after an event that all of them got at the same time: a store that is
+// silent for a moment would leave all of them without news for the whole poll time.
+BOOST_AUTO_TEST_CASE(firstPollAfterAnEventEndsInItsSlot)
+{
+    const base::Duration whole = feed::PollWaitOptions().longest;
+    const base::Duration half = (whole + feed::PollWaitOptions().shortest) / 2;
+    const WatchRecord record =
+        runWatch({rows(5, {}), rows(5, {}), rows(5, {}), rows(6, {{"a", "1", 6, false}}), rows(6, {}), failed(StoreStatus::Failed), rows(6, {})});
+    BOOST_REQUIRE_EQUAL(record.waits.size(), 7U);
+    BOOST_TEST((record.waits[0] < half)); // after the complete read
+    BOOST_TEST((record.waits[1] == whole));
+    BOOST_TEST((record.waits[2] == whole));
+    BOOST_TEST((record.waits[3] < half)); // after changes
+    BOOST_TEST((record.waits[4] == whole));
+    BOOST_TEST((record.waits[5] == base::Duration::zero()));
+    BOOST_TEST((record.waits[6] < half)); // after the return of the store
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
