Place requests by the speed that upstreams report

Cause: for 15% of the time an upstream's machine works 2.5 times slower. Placement learned it only from observed times, when it was over. The fourth number of the load header states it.

Change: ingress::ReportedSpeed holds the last value, bounded to 50 to 500 percent. Placement multiplies wait and cold work by the expected factor and adds the extra time of the work. Observed service times are divided by the factor half way through the attempt. Load reports between instances carry the value (optional field 5); with it 40 in place of 45 loads fit into a datagram. The load functions of the upstream table are a file of their own.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -4,7 +4,8 @@
 // same way (rendezvous hashing), so that each object is processed by few upstreams without coordination between instances.
 // Among the ranked upstreams the one with the lowest expected cost is chosen: the wait for a slot, plus the extra time of cold
 // work if the object is not known to be warm there. Work thus moves to another upstream only when waiting would take longer
-// than cold work. A request that cannot be answered before its deadline is rejected immediately.
+// than cold work. Where upstreams report the speed of their machine, all of these times are multiplied by it, and the extra time
+// of the work itself is added. A request that cannot be answered before its deadline is rejected immediately.
 #pragma once
 
 #include <array>
@@ -159,7 +160,7 @@
         double load{};
         double slots{};
         base::Duration wait{}; ///< expected wait for a slot
-        base::Duration cost{}; ///< `wait` plus the expected extra time of cold work
+        base::Duration cost{}; ///< `wait` plus the expected extra time of cold work and of a slow machine
         bool warm = false; ///< the object is known to be warm there
     };
 
--- a/include/trefoilstile/ingress/upstream_table.hpp
+++ b/include/trefoilstile/ingress/upstream_table.hpp
@@ -21,6 +21,7 @@
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/ingress/configuration.hpp"
 #include "trefoilstile/ingress/out_of_service.hpp"
+#include "trefoilstile/ingress/reported_speed.hpp"
 #include "trefoilstile/ingress/warm_keys.hpp"
 
 namespace trefoilstile::ingress
@@ -43,6 +44,7 @@
     std::uint32_t running{};
     std::uint32_t waiting{};
     std::uint32_t slots{};
+    std::optional<std::uint32_t> speedPercent{}; ///< how long work takes on the machine now, 100: as usual; empty: not reported
 };
 
 /// Load of an upstream that one instance received from it and shares with the other instances.
@@ -51,6 +53,7 @@
     std::uint32_t busy{}; ///< running and waiting requests
     std::uint32_t slots{};
     base::Duration age{}; ///< time since the upstream reported the load
+    std::optional<std::uint32_t> speedPercent{}; ///< as in `ReportedLoad`
 };
 
 /// Result of an attempt, as evidence about its upstream.
@@ -135,7 +138,9 @@
     base::TimePoint loadUpdatedAt; ///< time of the latest report, to this instance or another
     base::TimePoint loadReportedAt; ///< when `reportedLoad` was reported to this instance
     double otherInstancesLoad{}; ///< moving average of the reported load without the requests of this instance
-    double serviceSeconds{}; ///< moving average of the time in a slot; 0 means unknown
+    double serviceSeconds{}; ///< moving average of the time in a slot at the usual speed of the machine; 0 means unknown
+    ReportedSpeed speed;
+    std::shared_ptr<SpeedVariation> speedVariation; ///< of the service
     WarmKeys warmKeys;
 
     double attempts{}; ///< decayed
@@ -232,11 +237,23 @@
     /// True if a recent load report of the upstream is known.
     bool loadKnown(const Upstream &upstream, base::TimePoint now) const;
 
+    /// Expected factor by which work at the upstream takes longer than usual at a time; 1 if the service does not report speeds.
+    double speedFactor(const Upstream &upstream, base::TimePoint at) const
+    {
+        return upstream.speed.factor(*upstream.speedVariation, at);
+    }
+
+    /// True if an upstream has reported the speed of its machine, to this instance or another.
+    bool speedsReported() const
+    {
+        return m_speedsReported;
+    }
+
     /// Records that this instance sends a request to the upstream.
     void requestSent(Upstream &upstream, base::TimePoint now);
 
     /// Records the load that the upstream reported in a response to this instance.
-    void applyReportedLoad(Upstream &upstream, const ReportedLoad &reported, base::TimePoint now) const;
+    void applyReportedLoad(Upstream &upstream, const ReportedLoad &reported, base::TimePoint now);
 
     /// Returns the loads that upstreams have reported to this instance since the last call, latest first.
     /// @param maximum maximum number of observations; older ones are dropped
@@ -273,6 +290,7 @@
     bool rememberLeaving(std::uint64_t run, base::TimePoint now);
     /// Marks all but the latest upstream at the address as superseded.
     void registerAddress(const Pointer &upstream);
+    void applySpeed(Upstream &upstream, std::optional<std::uint32_t> percent, base::TimePoint reportedAt);
     /// Adds a report to the moving average of the load of other instances.
     void averageLoad(Upstream &upstream, double others, base::TimePoint reportedAt, base::TimePoint now) const;
     /// Decays `attempts` and `failures` to the current time.
@@ -283,12 +301,14 @@
     std::map<std::string, base::Duration, std::less<>> m_warmUp; ///< by service
     std::map<std::string, Pointer, std::less<>> m_upstreams; ///< by id
     std::map<std::string, std::vector<Pointer>, std::less<>> m_services;
+    std::map<std::string, std::shared_ptr<SpeedVariation>, std::less<>> m_speedVariations; ///< by service
     std::unordered_map<std::uint64_t, Pointer> m_byHash; ///< the same upstreams by `Upstream::hash`
     std::unordered_map<std::uint64_t, Pointer> m_byRun; ///< the same upstreams by `Upstream::run`
     std::unordered_map<std::uint64_t, base::TimePoint> m_leavingRuns; ///< when each leaving run was learned of
     std::deque<std::uint64_t> m_leavingOrder; ///< the runs of `m_leavingRuns`, oldest first
     std::unordered_map<std::string, Pointer> m_byAddress; ///< the upstream started last at each address, of configured services only
     std::uint64_t m_version{};
+    bool m_speedsReported = false;
     bool m_removalsPending = false; ///< whether some entries may have `removeAt`
     base::TimePoint m_observationsTakenAt;
     std::set<std::string, std::less<>> m_evacuated;
--- a/include/trefoilstile/peer/payload.hpp
+++ b/include/trefoilstile/peer/payload.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -146,6 +147,7 @@
     std::uint32_t busy{}; ///< running and waiting requests
     std::uint32_t slots{};
     base::Duration age{}; ///< whole milliseconds on the wire
+    std::optional<std::uint32_t> speedPercent{}; ///< of the upstream's machine; empty if the upstream does not report it
 
     friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
 };
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -93,6 +93,7 @@
     static constexpr base::Duration s_tickPeriod = std::chrono::milliseconds(100);
     static constexpr base::Duration s_reportPeriod = std::chrono::milliseconds(300); ///< shorter than the time constant of the loads
     static constexpr std::size_t s_maximumLoadsPerReport = 45; ///< fits into one datagram together with `s_maximumLeavingPerReport`
+    static constexpr std::size_t s_maximumLoadsWithSpeed = 40; ///< the same where upstreams report their speed
     static constexpr std::size_t s_maximumLeavingPerReport = 25;
     /// After the join, readers are chosen from the registered instances until this share of them is known to run, or the time is
     /// over. Otherwise every instance would consider itself a reader while all start.
@@ -318,7 +319,8 @@
         }
         m_nextReport = now + s_reportPeriod;
         FleetReport report;
-        report.loads = m_core.upstreamTable.takeLoadObservations(s_maximumLoadsPerReport, now);
+        report.loads =
+            m_core.upstreamTable.takeLoadObservations(m_core.upstreamTable.speedsReported() ? s_maximumLoadsWithSpeed : s_maximumLoadsPerReport, now);
         report.leavingRuns = m_core.upstreamTable.leavingNotices(s_maximumLeavingPerReport, now);
         bool news = !report.leavingRuns.empty();
         bool reader = false;
--- a/include/trefoilstile/proxy/header_names.hpp
+++ b/include/trefoilstile/proxy/header_names.hpp
@@ -18,7 +18,8 @@
     std::string leaving = "Trefoilstile-Leaving"; ///< `1` in each response of an upstream that leaves and wants no further requests
     std::string credentials = "Authorization"; ///< `Bearer` and the API key of the caller's account; never forwarded to upstreams
     std::string account = "Trefoilstile-Account"; ///< name of the caller's account, set for upstreams by the entry process
-    std::string load = "Trefoilstile-Load"; ///< numbers of running requests, queued requests and slots of the upstream, separated by commas
+    std::string load = "Trefoilstile-Load"; ///< numbers of running requests, queued requests and slots of the upstream, separated by commas; a fourth may state
+                                            ///< the speed of its machine in percent
 };
 
 } // namespace trefoilstile::proxy
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -160,9 +160,11 @@
     constexpr double spread = 0.64; // gives 0.4 standard deviations where the load equals the slots
     const double waiting = 0.5 * (excess + std::sqrt(excess * excess + spread * result.load));
     const double service = upstream->serviceSeconds > 0 ? upstream->serviceSeconds : base::toSeconds(m_options.assumedServiceTime);
-    result.wait = base::fromSeconds(waiting / result.slots * service);
+    const double speed = m_upstreams.speedFactor(*upstream, now);
+    result.wait = base::fromSeconds(waiting / result.slots * service * speed);
     const double cold = rank == 0 || result.warm ? 0.0 : rank < m_options.coldProbability.size() ? m_options.coldProbability[rank] : 1.0;
-    result.cost = result.wait + std::chrono::duration_cast<base::Duration>(cold * m_options.coldCost * request.route.latencyObjective);
+    const auto coldWork = std::chrono::duration_cast<base::Duration>(cold * m_options.coldCost * speed * request.route.latencyObjective);
+    result.cost = result.wait + coldWork + base::fromSeconds(service * (speed - 1));
     return result;
 }
 
--- a/src/ingress/placement_test.cpp
+++ b/src/ingress/placement_test.cpp
@@ -235,6 +235,55 @@
     BOOST_TEST((result.retryAfter == 2s));
 }
 
+// Guards against work that is placed on a slow machine while another is free, and against a wait that is estimated without the speed.
+BOOST_AUTO_TEST_CASE(slowMachineGetsLessWork)
+{
+    PlacementFixture fixture(8, 0);
+    for (const UpstreamTable::Pointer &upstream : fixture.upstreams.ofService(s_service)) {
+        upstream->serviceSeconds = 0.25;
+    }
+    const PlacementResult usual = fixture.choose(7);
+    fixture.upstreams.applyReportedLoad(*usual.upstream, {0, 0, 4, 250}, s_start);
+    BOOST_TEST(fixture.choose(7).upstream != usual.upstream);
+    BOOST_TEST((fixture.choose(7).reason == PlacementReason::Cold));
+    for (const UpstreamTable::Pointer &upstream : fixture.upstreams.ofService(s_service)) {
+        fixture.upstreams.applyReportedLoad(*upstream, {0, 0, 4, 250}, s_start + 1ms);
+    }
+    const PlacementResult slow = fixture.choose(7);
+    BOOST_TEST(slow.upstream == usual.upstream);
+    BOOST_TEST(base::toSeconds(slow.wait) == 2.5 * base::toSeconds(usual.wait), boost::test_tools::tolerance(0.01));
+}
+
+// Guards against an effect of the reported speed on deployments whose upstreams do not report it. The digest of 600 decisions was
+// recorded with the placement before speeds were reported (commit f88f140).
+BOOST_AUTO_TEST_CASE(withoutReportedSpeedTheDecisionsAreUnchanged)
+{
+    PlacementFixture fixture(6, 4);
+    base::SplitMix64 random(11);
+    std::uint64_t digest = 0;
+    const auto mix = [&digest](std::uint64_t value) {
+        digest = base::mixBits(digest ^ value);
+    };
+    for (int i = 0; i < 600; ++i) {
+        fixture.route.priority = static_cast<std::uint32_t>(random.next() % 3);
+        const auto &upstreams = fixture.upstreams.ofService(s_service);
+        Upstream &reporting = *upstreams[random.next() % upstreams.size()];
+        fixture.upstreams.applyReportedLoad(reporting, {4, static_cast<std::uint32_t>(random.next() % 9), 4}, s_start);
+        const PlacementResult result = fixture.chooseAndSend(random.next() % 40);
+        mix(static_cast<std::uint64_t>(result.outcome));
+        mix(static_cast<std::uint64_t>(result.reason));
+        mix(static_cast<std::uint64_t>(result.retryAfter.count()));
+        if (result.upstream) {
+            mix(result.upstream->hash);
+            mix(static_cast<std::uint64_t>(result.wait.count()));
+            const auto took = std::chrono::milliseconds(30 + random.next() % 400);
+            fixture.upstreams.attemptEnded(*result.upstream, AttemptVerdict::Served, took, result.load, s_start);
+            result.upstream->warmKeys.handled(random.next() % 40, s_start);
+        }
+    }
+    BOOST_TEST(digest == 6046329168732021012U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::ingress
--- a/src/ingress/upstream_table.cpp
+++ b/src/ingress/upstream_table.cpp
@@ -19,6 +19,17 @@
     return base::mixBits(base::stableHash(report.id) ^ base::mixBits(static_cast<std::uint64_t>(report.startedAt)));
 }
 
+/// The object that the upstreams of a service share; created at the first call.
+template<typename Shared>
+std::shared_ptr<Shared> sharedOf(std::map<std::string, std::shared_ptr<Shared>, std::less<>> &byService, const std::string &service)
+{
+    std::shared_ptr<Shared> &shared = byService[service];
+    if (!shared) {
+        shared = std::make_shared<Shared>();
+    }
+    return shared;
+}
+
 } // namespace
 
 void UpstreamTable::setServices(const Configuration &configuration)
@@ -51,6 +62,7 @@
         upstream->region = region == m_regions.end() ? std::string() : region->second;
         upstream->hash = base::stableHash(report.id);
         upstream->run = runOf(report);
+        upstream->speedVariation = sharedOf(m_speedVariations, report.service);
         upstream->outOfService.set(OutOfServiceReason::Draining, report.draining);
         upstream->outOfService.set(OutOfServiceReason::Leaving, m_leavingRuns.contains(upstream->run));
         upstream->outOfService.set(OutOfServiceReason::Evacuated, m_evacuated.contains(report.failureDomain));
@@ -253,82 +265,6 @@
     return now >= upstream.avoidUntil && now >= upstream.lastTrial + m_options.trialInterval;
 }
 
-double UpstreamTable::load(const Upstream &upstream, base::TimePoint now) const
-{
-    if (!loadKnown(upstream, now)) {
-        return upstream.outstanding;
-    }
-    return upstream.otherInstancesLoad + upstream.outstanding;
-}
-
-bool UpstreamTable::loadKnown(const Upstream &upstream, base::TimePoint now) const
-{
-    return upstream.loadUpdatedAt != base::TimePoint() && now - upstream.loadUpdatedAt <= m_options.reportedLoadLifetime;
-}
-
-void UpstreamTable::requestSent(Upstream &upstream, base::TimePoint now)
-{
-    ++upstream.outstanding;
-    if (avoided(upstream, now)) {
-        upstream.lastTrial = now;
-    }
-}
-
-void UpstreamTable::applyReportedLoad(Upstream &upstream, const ReportedLoad &reported, base::TimePoint now) const
-{
-    // `outstanding` still includes the request whose response carries the report, but the reported load does not.
-    const double own = upstream.outstanding > 0 ? upstream.outstanding - 1 : 0;
-    averageLoad(upstream, std::max(0.0, reported.running + reported.waiting - own), now, now);
-    upstream.reportedLoad = reported;
-    upstream.loadReportedAt = now;
-}
-
-std::vector<LoadObservation> UpstreamTable::takeLoadObservations(std::size_t maximum, base::TimePoint now)
-{
-    std::vector<const Upstream *> reported;
-    for (const auto &[id, upstream] : m_upstreams) {
-        if (upstream->loadReportedAt > m_observationsTakenAt) {
-            reported.push_back(upstream.get());
-        }
-    }
-    std::sort(reported.begin(), reported.end(), [](const Upstream *left, const Upstream *right) {
-        return left->loadReportedAt > right->loadReportedAt;
-    });
-    reported.resize(std::min(reported.size(), maximum));
-    std::vector<LoadObservation> observations;
-    observations.reserve(reported.size());
-    for (const Upstream *upstream : reported) {
-        observations.push_back(
-            {upstream->hash, upstream->reportedLoad.running + upstream->reportedLoad.waiting, upstream->reportedLoad.slots, now - upstream->loadReportedAt});
-    }
-    m_observationsTakenAt = now;
-    return observations;
-}
-
-void UpstreamTable::applyLoadObservation(const LoadObservation &observation, base::TimePoint now)
-{
-    const auto found = m_byHash.find(observation.upstream);
-    if (found == m_byHash.end() || observation.age < base::Duration::zero() || observation.age > m_options.reportedLoadLifetime) {
-        return;
-    }
-    Upstream &upstream = *found->second;
-    averageLoad(upstream, std::max(0.0, static_cast<double>(observation.busy) - upstream.outstanding), now - observation.age, now);
-}
-
-void UpstreamTable::averageLoad(Upstream &upstream, double others, base::TimePoint reportedAt, base::TimePoint now) const
-{
-    if (!loadKnown(upstream, now)) {
-        upstream.otherInstancesLoad = others;
-        upstream.loadUpdatedAt = reportedAt;
-        return;
-    }
-    // The weight of a report depends on the time since the previous one. A report that arrives out of order has little weight.
-    const base::Duration since = std::max<base::Duration>(reportedAt - upstream.loadUpdatedAt, std::chrono::milliseconds(20));
-    const double kept = std::exp(-base::toSeconds(since) / base::toSeconds(m_options.loadTimeConstant));
-    upstream.otherInstancesLoad = kept * upstream.otherInstancesLoad + (1 - kept) * others;
-    upstream.loadUpdatedAt = std::max(upstream.loadUpdatedAt, reportedAt);
-}
-
 void UpstreamTable::attemptEnded(Upstream &upstream, AttemptVerdict verdict, base::Duration took, double loadBefore, base::TimePoint now) const
 {
     upstream.outstanding -= upstream.outstanding > 0 ? 1 : 0;
@@ -339,7 +275,9 @@
     upstream.attempts += 1;
     if (verdict == AttemptVerdict::Served) {
         // Requests that exceed the slots wait for one, so the duration spans several service times.
-        const double seconds = base::toSeconds(took) / std::max(1.0, (loadBefore + 1) / std::max(1U, upstream.report.slots));
+        // The speed in the middle of the attempt is taken out, because placement multiplies by the speed in force later.
+        const double slotTimes = std::max(1.0, (loadBefore + 1) / std::max(1U, upstream.report.slots));
+        const double seconds = base::toSeconds(took) / slotTimes / speedFactor(upstream, now - took / 2);
         upstream.serviceSeconds =
             upstream.serviceSeconds == 0 ? seconds : upstream.serviceSeconds + m_options.serviceTimeWeight * (seconds - upstream.serviceSeconds);
         upstream.pause = {};
--- a/src/peer/gen/trefoilstile_types.cpp
+++ b/src/peer/gen/trefoilstile_types.cpp
@@ -3875,6 +3875,11 @@
 void UpstreamLoad::__set_ageMs(const int32_t val) {
   this->ageMs = val;
 }
+
+void UpstreamLoad::__set_speedPercent(const int32_t val) {
+  this->speedPercent = val;
+__isset.speedPercent = true;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamLoad& obj)
 {
   obj.printTo(out);
@@ -3935,6 +3940,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedPercent);
+          this->__isset.speedPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3968,6 +3981,11 @@
   xfer += oprot->writeI32(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.speedPercent) {
+    xfer += oprot->writeFieldBegin("speedPercent", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->speedPercent);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3979,6 +3997,7 @@
   swap(a.busy, b.busy);
   swap(a.slots, b.slots);
   swap(a.ageMs, b.ageMs);
+  swap(a.speedPercent, b.speedPercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -3987,6 +4006,7 @@
   busy = other74.busy;
   slots = other74.slots;
   ageMs = other74.ageMs;
+  speedPercent = other74.speedPercent;
   __isset = other74.__isset;
 }
 UpstreamLoad& UpstreamLoad::operator=(const UpstreamLoad& other75) noexcept {
@@ -3994,6 +4014,7 @@
   busy = other75.busy;
   slots = other75.slots;
   ageMs = other75.ageMs;
+  speedPercent = other75.speedPercent;
   __isset = other75.__isset;
   return *this;
 }
@@ -4004,6 +4025,7 @@
   out << ", " << "busy=" << to_string(busy);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "speedPercent="; (__isset.speedPercent ? (out << to_string(speedPercent)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/trefoilstile_types.h
+++ b/src/peer/gen/trefoilstile_types.h
@@ -1658,11 +1658,12 @@
 std::ostream& operator<<(std::ostream& out, const CapacityAdvertisement& obj);
 
 typedef struct _UpstreamLoad__isset {
-  _UpstreamLoad__isset() : upstream(false), busy(false), slots(false), ageMs(false) {}
+  _UpstreamLoad__isset() : upstream(false), busy(false), slots(false), ageMs(false), speedPercent(false) {}
   bool upstream :1;
   bool busy :1;
   bool slots :1;
   bool ageMs :1;
+  bool speedPercent :1;
 } _UpstreamLoad__isset;
 
 class UpstreamLoad : public virtual ::apache::thrift::TBase {
@@ -1674,7 +1675,8 @@
                : upstream(0),
                  busy(0),
                  slots(0),
-                 ageMs(0) {
+                 ageMs(0),
+                 speedPercent(0) {
   }
 
   virtual ~UpstreamLoad() noexcept;
@@ -1682,6 +1684,7 @@
   int32_t busy;
   int32_t slots;
   int32_t ageMs;
+  int32_t speedPercent;
 
   _UpstreamLoad__isset __isset;
 
@@ -1693,6 +1696,8 @@
 
   void __set_ageMs(const int32_t val);
 
+  void __set_speedPercent(const int32_t val);
+
   bool operator == (const UpstreamLoad & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -1703,6 +1708,10 @@
       return false;
     if (!(ageMs == rhs.ageMs))
       return false;
+    if (__isset.speedPercent != rhs.__isset.speedPercent)
+      return false;
+    else if (__isset.speedPercent && !(speedPercent == rhs.speedPercent))
+      return false;
     return true;
   }
   bool operator != (const UpstreamLoad &rhs) const {
--- a/src/peer/generators.hpp
+++ b/src/peer/generators.hpp
@@ -103,7 +103,7 @@
         LoanReturn{anyNumber()},
         LoanAck{anyNumber()},
         CapacityAdvertisement{text(), nonNegativeNumber(), duration(), {{text(), nonNegativeNumber()}, {text(), nonNegativeNumber()}}},
-        LoadReport{{{anyNumber(), smallNumber(), smallNumber(), duration()}, {anyNumber(), smallNumber(), smallNumber(), duration()}},
+        LoadReport{{{anyNumber(), smallNumber(), smallNumber(), duration(), 250}, {anyNumber(), smallNumber(), smallNumber(), duration()}},
             {anyNumber(), anyNumber()},
             {{text(), nonNegativeNumber()}},
             text()},
--- a/src/peer/translate_transfers.cpp
+++ b/src/peer/translate_transfers.cpp
@@ -223,6 +223,9 @@
         entry.busy = static_cast<std::int32_t>(load.busy);
         entry.slots = static_cast<std::int32_t>(load.slots);
         entry.ageMs = static_cast<std::int32_t>(millisecondsToWire(load.age));
+        if (load.speedPercent) {
+            entry.__set_speedPercent(static_cast<std::int32_t>(*load.speedPercent));
+        }
         out.loads.push_back(entry);
     }
     for (const std::uint64_t run : value.leavingRuns) {
@@ -245,7 +248,8 @@
         out.loads.push_back({static_cast<std::uint64_t>(load.upstream),
             checkedNumber<std::uint32_t>(load.busy),
             checkedNumber<std::uint32_t>(load.slots),
-            durationFromWire(load.ageMs)});
+            durationFromWire(load.ageMs),
+            load.__isset.speedPercent ? std::optional(checkedNumber<std::uint32_t>(load.speedPercent)) : std::nullopt});
     }
     for (const std::int64_t run : value.leavingRuns) {
         out.leavingRuns.push_back(bitsFromWire(run));
--- a/src/peer/trefoilstile.thrift
+++ b/src/peer/trefoilstile.thrift
@@ -180,6 +180,7 @@
   2: i32 busy
   3: i32 slots
   4: i32 ageMs
+  5: optional i32 speedPercent
 }
 
 struct TableVersion {
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -30,7 +30,7 @@
     return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
 }
 
-/// Parses the three numbers of the load header field.
+/// Parses the three numbers of the load header field and the fourth, the speed, if there is one. A fourth that is no speed is ignored.
 std::optional<ingress::ReportedLoad> parseLoad(std::string_view text)
 {
     std::uint64_t figures[3]{};
@@ -43,7 +43,11 @@
         figure = *number;
         text.remove_prefix(std::min(comma + 1, text.size()));
     }
-    return ingress::ReportedLoad{static_cast<std::uint32_t>(figures[0]), static_cast<std::uint32_t>(figures[1]), static_cast<std::uint32_t>(figures[2])};
+    ingress::ReportedLoad load{static_cast<std::uint32_t>(figures[0]), static_cast<std::uint32_t>(figures[1]), static_cast<std::uint32_t>(figures[2])};
+    if (const auto percent = http::parseNumber(text.substr(0, text.find(',')))) {
+        load.speedPercent = ingress::boundedSpeedPercent(*percent);
+    }
+    return load;
 }
 
 } // namespace
--- a/src/proxy/member_link.cpp
+++ b/src/proxy/member_link.cpp
@@ -30,7 +30,7 @@
 {
     peer::LoadReport result;
     for (const ingress::LoadObservation &load : report.loads) {
-        result.loads.push_back({load.upstream, load.busy, load.slots, load.age});
+        result.loads.push_back({load.upstream, load.busy, load.slots, load.age, load.speedPercent});
     }
     result.leavingRuns = report.leavingRuns;
     for (const KnownTable &table : report.tables) {
@@ -44,7 +44,7 @@
 {
     FleetReport result;
     for (const peer::UpstreamLoad &load : report.loads) {
-        result.loads.push_back({load.upstream, load.busy, load.slots, load.age});
+        result.loads.push_back({load.upstream, load.busy, load.slots, load.age, load.speedPercent});
     }
     result.leavingRuns = report.leavingRuns;
     for (const peer::TableVersion &table : report.tables) {
--- a/src/proxy/upstream_faults_test.cpp
+++ b/src/proxy/upstream_faults_test.cpp
@@ -37,6 +37,31 @@
     BOOST_TEST(entry.requestsAtUpstreams() == 3);
 }
 
+// Guards against a speed that is not read from the load field, and against a load that is lost because the speed is malformed.
+BOOST_AUTO_TEST_CASE(speedIsReadFromTheLoadField)
+{
+    struct Case {
+        std::string field;
+        bool speedKnown;
+    };
+    for (const Case &tried :
+        std::vector<Case>{{"3,2,8", false}, {"3,2,8,250", true}, {"3,2,8,", false}, {"3,2,8,fast", false}, {"3,2,8,0", false}, {"3,2,8,-5", false}}) {
+        EntryFixture entry([&tried](const std::string &received) {
+            std::string response = signedResponse(idOf(received), "hello");
+            response.insert(response.find("Content-Length"), "Trefoilstile-Load: " + tried.field + "\r\n");
+            return ScriptedReply{response};
+        });
+        entry.send(request("/reads/1", "r1"), "hello");
+        const auto upstream = entry.core.upstreamTable.ofService("ledger").front();
+        BOOST_TEST_CONTEXT(tried.field)
+        {
+            BOOST_TEST(upstream->reportedLoad.running == 3U);
+            BOOST_TEST(upstream->speed.known() == tried.speedKnown);
+            BOOST_TEST((entry.core.upstreamTable.speedFactor(*upstream, http::now()) > 1.5) == tried.speedKnown);
+        }
+    }
+}
+
 // Guards against a leaving notice that is taken from the response of another upstream at the address.
 BOOST_AUTO_TEST_CASE(leavingNoticeOfAnotherUpstreamIsIgnored)
 {
