Restrain new connections to upstreams that reset them

Cause: upstreams accept fewer connections while their queue is long and reset the others. An instance opened one whenever none was idle, for requests that run at most once also when one had been idle for over 300 ms; that one stayed open beside the new one for up to 4 s. A reset after the request was written costs the caller the request.

Change: a reset right after connecting stops new connections of this instance to the upstream for 0.3 to 3 s, and teaches the load per slot from which the service's upstreams reset them (0.8 of the load then, rising by 0.013 per second). Above it, placement prefers an upstream with a kept connection or a shorter queue if it costs at most half the latency objective more. If none does, the attempt connects, waits as long as a reset took before, and is placed anew if it came: nothing was written. While the queue of an upstream is long, a new connection replaces the one idle for longest. Nothing is restrained before the first such reset.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -65,6 +66,9 @@
     std::size_t minimumCandidates = 8;
     /// Maximum expected wait, as a fraction of the time left until the deadline.
     double deadlineShare = 0.9;
+    /// An upstream is avoided because a new connection to it would probably be reset only if another one costs at most this
+    /// fraction of the latency objective more.
+    double connectionCost = 0.5;
 };
 
 /// Options for a limit on the share of a region's requests that changes region within 2 s. A third of the limit is used for
@@ -100,6 +104,8 @@
     std::span<const Upstream *const> excluded; ///< upstreams that were tried before
     base::Duration timeLeft{}; ///< until the deadline of the caller or the route
     const Account *account = nullptr; ///< account of the caller; null without one
+    std::size_t connectionLimit = 1'000'000; ///< connections that this instance may have to one upstream
+    std::function<bool(const Upstream &)> reusable{}; ///< whether an open connection to the upstream is free for the request; empty: none is
 };
 
 struct PlacementResult {
--- a/include/trefoilstile/ingress/upstream_table.hpp
+++ b/include/trefoilstile/ingress/upstream_table.hpp
@@ -20,6 +20,7 @@
 
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/ingress/configuration.hpp"
+#include "trefoilstile/ingress/connection_restraint.hpp"
 #include "trefoilstile/ingress/out_of_service.hpp"
 #include "trefoilstile/ingress/reported_speed.hpp"
 #include "trefoilstile/ingress/warm_keys.hpp"
@@ -134,6 +135,8 @@
 
     std::uint32_t outstanding{}; ///< requests of this instance in flight at the upstream
     std::uint32_t openConnections{}; ///< connections of this instance to the upstream
+    ConnectionBackOff connectionBackOff;
+    std::shared_ptr<ConnectionRestraint> connectionRestraint; ///< of the service
     ReportedLoad reportedLoad; ///< last load reported to this instance
     base::TimePoint loadUpdatedAt; ///< time of the latest report, to this instance or another
     base::TimePoint loadReportedAt; ///< when `reportedLoad` was reported to this instance
@@ -263,6 +266,20 @@
     /// ignored.
     void applyLoadObservation(const LoadObservation &observation, base::TimePoint now);
 
+    /// Records that the upstream has reset a connection of this instance right after it was established.
+    /// @param delay time from the establishment to the reset
+    void connectionReset(Upstream &upstream, base::Duration delay, base::TimePoint now) const;
+
+    /// Records a response on a new connection.
+    void connectionServed(Upstream &upstream) const
+    {
+        upstream.connectionBackOff.pause = {};
+    }
+
+    /// True if a new connection to the upstream would probably be reset: after a recent reset, or because its queue is long.
+    /// @param connectionLimit maximum number of connections of this instance to an upstream of the service
+    bool connectionRestrained(const Upstream &upstream, std::size_t connectionLimit, base::TimePoint now) const;
+
     /// Records the end of an attempt.
     /// @param took duration of the attempt
     /// @param loadBefore estimated load of the upstream when the request was sent
@@ -302,6 +319,7 @@
     std::map<std::string, Pointer, std::less<>> m_upstreams; ///< by id
     std::map<std::string, std::vector<Pointer>, std::less<>> m_services;
     std::map<std::string, std::shared_ptr<SpeedVariation>, std::less<>> m_speedVariations; ///< by service
+    std::map<std::string, std::shared_ptr<ConnectionRestraint>, std::less<>> m_connectionRestraints; ///< by service
     std::unordered_map<std::uint64_t, Pointer> m_byHash; ///< the same upstreams by `Upstream::hash`
     std::unordered_map<std::uint64_t, Pointer> m_byRun; ///< the same upstreams by `Upstream::run`
     std::unordered_map<std::uint64_t, base::TimePoint> m_leavingRuns; ///< when each leaving run was learned of
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -62,6 +62,8 @@
         base::Duration loadAge{}; ///< -1 ns: the upstream has not reported a load
         base::TimePoint startedAt;
         base::TimePoint endedAt;
+        std::optional<base::TimePoint> connectedAt; ///< set if the attempt has opened its connection
+        bool answered = false; ///< the head of a response has been received
         bool aborted = false;
         bool ended = false;
         bool processed = false; ///< `processEndedAttempts` has handled the result
@@ -101,6 +103,13 @@
     /// Records the end of an attempt; `run` continues with its result.
     void endAttempt(Attempt &attempt, AttemptEnd end);
     boost::asio::awaitable<AttemptEnd> exchangeWith(std::shared_ptr<Attempt> attempt);
+    /// Provides the attempt with a connection, a kept one if possible; returns the end of the attempt if there is none.
+    boost::asio::awaitable<std::optional<AttemptEnd>> connect(std::shared_ptr<Attempt> attempt);
+    /// Waits as long as the upstream takes to reset a new connection that it does not accept, if it probably does not. True if it
+    /// has reset it.
+    boost::asio::awaitable<bool> resetBeforeWriting(std::shared_ptr<Attempt> attempt);
+    /// Records it if the upstream has reset the attempt's connection right after it was established.
+    void noteConnectionReset(const Attempt &attempt, bool written, base::TimePoint now);
     boost::asio::awaitable<AttemptEnd> readResponse(std::shared_ptr<Attempt> attempt);
     /// Applies what the header fields say about the upstream itself: its load, that it leaves, that it wants no requests for a time.
     void applyUpstreamFields(Attempt &attempt, const http::ResponseHead &head) const;
--- a/include/trefoilstile/proxy/upstream_connections.hpp
+++ b/include/trefoilstile/proxy/upstream_connections.hpp
@@ -48,6 +48,12 @@
     /// @param recentOnly only connections that were in use within `recentIdle`
     std::shared_ptr<http::Connection> take(const std::string &upstreamId, bool recentOnly, base::TimePoint now);
 
+    /// True if `take` would probably return a connection that was in use at any time.
+    bool has(const std::string &upstreamId, base::TimePoint now) const;
+
+    /// Closes the connection to the upstream that was idle for longest, because another one takes its place.
+    void closeOldest(const std::string &upstreamId);
+
     /// Adds a connection to the pool whose last response was read completely. Closes it if the pool has enough for the upstream.
     /// @param keepAlive value of the `Keep-Alive` field of the response, or null
     void keep(const std::string &upstreamId, std::shared_ptr<http::Connection> connection, const std::string *keepAlive, base::TimePoint now);
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -287,11 +287,30 @@
     }
     const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
     const auto maximumWait = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
+    const auto restrained = [&](const Candidate &candidate) {
+        const Upstream &upstream = **candidate.upstream;
+        return m_upstreams.connectionRestrained(upstream, request.connectionLimit, now) && !(request.reusable && request.reusable(upstream));
+    };
+    const auto connectionCost = std::chrono::duration_cast<base::Duration>(m_options.connectionCost * request.route.latencyObjective);
+    std::vector<std::pair<const Candidate *, PlacementReason>> needConnections; // fit, but a new connection would probably be reset
     for (const Candidate &candidate : local) {
+        if (!needConnections.empty() && candidate.cost > needConnections.front().first->cost + connectionCost) {
+            break;
+        }
         const bool cold = candidate.rank != 0 && !candidate.warm;
         const bool fits = candidate.load + 1 <= candidate.slots * (cold ? m_options.coldUtilizationLimit : 1 + queuePerSlot);
         const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
-        if (fits && candidate.wait <= maximumWait && tryChoose(candidate, reason)) {
+        if (!fits || candidate.wait > maximumWait) {
+            continue;
+        }
+        if (restrained(candidate)) {
+            needConnections.emplace_back(&candidate, reason);
+        } else if (tryChoose(candidate, reason)) {
+            return result;
+        }
+    }
+    for (const auto &[candidate, reason] : needConnections) {
+        if (tryChoose(*candidate, reason)) {
             return result;
         }
     }
--- a/src/ingress/placement_test.cpp
+++ b/src/ingress/placement_test.cpp
@@ -254,6 +254,27 @@
     BOOST_TEST(base::toSeconds(slow.wait) == 2.5 * base::toSeconds(usual.wait), boost::test_tools::tolerance(0.01));
 }
 
+// Guards against a new connection that the upstream resets where another upstream or a kept connection would do, and against a request
+// that fails because no upstream is expected to accept a connection.
+BOOST_AUTO_TEST_CASE(connectionThatWouldBeResetIsAvoided)
+{
+    PlacementFixture fixture(3, 0);
+    const UpstreamTable::Pointer first = fixture.choose(7).upstream;
+    fixture.upstreams.connectionReset(*first, 2ms, s_start);
+    const UpstreamTable::Pointer second = fixture.choose(7).upstream;
+    BOOST_TEST(second != first);
+    std::vector<const Upstream *> none;
+    PlacementRequest request{fixture.route, s_service, 7, none, 2s};
+    request.reusable = [&first](const Upstream &upstream) {
+        return &upstream == first.get();
+    };
+    BOOST_TEST(fixture.placement.choose(request, fixture.configuration, s_start).upstream == first);
+    for (const UpstreamTable::Pointer &upstream : fixture.upstreams.ofService(s_service)) {
+        fixture.upstreams.connectionReset(*upstream, 2ms, s_start);
+    }
+    BOOST_TEST(fixture.choose(7).upstream == first);
+}
+
 // Guards against an effect of the reported speed on deployments whose upstreams do not report it. The digest of 600 decisions was
 // recorded with the placement before speeds were reported (commit f88f140).
 BOOST_AUTO_TEST_CASE(withoutReportedSpeedTheDecisionsAreUnchanged)
--- a/src/ingress/upstream_table.cpp
+++ b/src/ingress/upstream_table.cpp
@@ -63,6 +63,7 @@
         upstream->hash = base::stableHash(report.id);
         upstream->run = runOf(report);
         upstream->speedVariation = sharedOf(m_speedVariations, report.service);
+        upstream->connectionRestraint = sharedOf(m_connectionRestraints, report.service);
         upstream->outOfService.set(OutOfServiceReason::Draining, report.draining);
         upstream->outOfService.set(OutOfServiceReason::Leaving, m_leavingRuns.contains(upstream->run));
         upstream->outOfService.set(OutOfServiceReason::Evacuated, m_evacuated.contains(report.failureDomain));
--- a/src/ingress/upstream_table_load.cpp
+++ b/src/ingress/upstream_table_load.cpp
@@ -1,7 +1,8 @@
-// Load and speed of upstreams, from their responses and from reports of other instances.
+// Load and speed of upstreams, from their responses and from reports of other instances, and whether they accept connections.
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "trefoilstile/ingress/upstream_table.hpp"
 
@@ -94,4 +95,25 @@
     upstream.loadUpdatedAt = std::max(upstream.loadUpdatedAt, reportedAt);
 }
 
+void UpstreamTable::connectionReset(Upstream &upstream, base::Duration delay, base::TimePoint now) const
+{
+    upstream.connectionBackOff.connectionReset(now);
+    upstream.connectionRestraint->connectionReset(load(upstream, now) / std::max(1U, upstream.report.slots), delay, now);
+}
+
+bool UpstreamTable::connectionRestrained(const Upstream &upstream, std::size_t connectionLimit, base::TimePoint now) const
+{
+    if (now < upstream.connectionBackOff.until) {
+        return true;
+    }
+    const ConnectionRestraint &restraint = *upstream.connectionRestraint;
+    const double limit = restraint.loadLimit(now);
+    if (limit == std::numeric_limits<double>::infinity()) {
+        return false;
+    }
+    const double slots = std::max(1U, upstream.report.slots);
+    const double estimated = load(upstream, now);
+    return estimated >= limit * slots || upstream.openConnections >= restraint.allowed(connectionLimit, estimated, slots, now);
+}
+
 } // namespace trefoilstile::ingress
--- a/src/ingress/upstream_table_load_test.cpp
+++ b/src/ingress/upstream_table_load_test.cpp
@@ -64,6 +64,40 @@
     BOOST_TEST(upstream.serviceSeconds == 0.1, boost::test_tools::tolerance(0.15));
 }
 
+// Guards against new connections to an upstream that has just reset one, and against connections that are never opened again.
+BOOST_AUTO_TEST_CASE(noNewConnectionForATimeAfterAReset)
+{
+    TableFixture fixture;
+    Upstream &upstream = fixture.upstream();
+    BOOST_TEST(!fixture.table.connectionRestrained(upstream, 20, s_start));
+    fixture.table.connectionReset(upstream, 2ms, s_start);
+    BOOST_TEST(fixture.table.connectionRestrained(upstream, 20, s_start + 200ms));
+    BOOST_TEST(!fixture.table.connectionRestrained(upstream, 20, s_start + 400ms));
+    fixture.table.connectionReset(upstream, 2ms, s_start + 400ms);
+    BOOST_TEST(fixture.table.connectionRestrained(upstream, 20, s_start + 900ms)); // the second pause is longer
+    BOOST_TEST(!fixture.table.connectionRestrained(upstream, 20, s_start + 5s));
+}
+
+// Guards against resets by the other upstreams of the service, each of which would otherwise have to be learned apart, and against
+// a restraint where the queue is short.
+BOOST_AUTO_TEST_CASE(resetByOneUpstreamRestrainsConnectionsToOthersWithALongQueue)
+{
+    TableFixture fixture;
+    UpstreamReport other = fixture.upstream().report;
+    other.id = "b";
+    other.address = "127.0.0.1:1001";
+    fixture.table.report(other, s_start);
+    Upstream &first = *fixture.table.ofService("ledger")[0];
+    Upstream &second = *fixture.table.ofService("ledger")[1];
+    fixture.table.applyReportedLoad(first, {4, 4, 4}, s_start);
+    fixture.table.applyReportedLoad(second, {4, 4, 4}, s_start);
+    BOOST_TEST(!fixture.table.connectionRestrained(second, 20, s_start));
+    fixture.table.connectionReset(first, 2ms, s_start);
+    BOOST_TEST(fixture.table.connectionRestrained(second, 20, s_start));
+    fixture.table.applyReportedLoad(second, {2, 0, 4}, s_start + 10s);
+    BOOST_TEST(!fixture.table.connectionRestrained(second, 20, s_start + 10s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::ingress
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -272,7 +272,10 @@
     for (const auto &attempt : m_attempts) {
         tried.push_back(attempt->upstream.get());
     }
-    const ingress::PlacementRequest request{m_route->route, m_service, m_key, tried, m_deadline - now, m_account.get()};
+    ingress::PlacementRequest request{m_route->route, m_service, m_key, tried, m_deadline - now, m_account.get(), m_core.connectionLimit(m_service)};
+    request.reusable = [this, now](const ingress::Upstream &upstream) {
+        return m_core.connections.has(upstream.report.id, now);
+    };
     return m_core.placement.choose(request, m_core.configuration, now);
 }
 
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
@@ -22,6 +23,13 @@
 /// second.
 constexpr base::Duration s_connectTimeout = std::chrono::milliseconds(500);
 
+/// A connection that ends within this time after it was established, before any response, was not accepted. Resets take one round
+/// trip, at most 70 ms between regions.
+constexpr base::Duration s_resetAfterConnect = std::chrono::milliseconds(100);
+
+/// Added to the observed time after which a new connection is reset, for the variation of the path.
+constexpr base::Duration s_resetMargin = std::chrono::milliseconds(2);
+
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 constexpr int s_maximumStrayResponses = 3;
 
@@ -74,28 +82,81 @@
     m_wakeUpTimer.cancel();
 }
 
+boost::asio::awaitable<std::optional<AttemptEnd>> Exchange::connect(std::shared_ptr<Attempt> attempt)
+{
+    ingress::Upstream &upstream = *attempt->upstream;
+    // Where a new connection would probably be reset after the request was written, a kept one is the safer of the two.
+    const bool restrained = m_core.upstreamTable.connectionRestrained(upstream, m_core.connectionLimit(m_service), http::now());
+    attempt->connection = m_core.connections.take(upstream.report.id, !m_route->route.idempotent && !restrained, http::now());
+    if (attempt->connection) {
+        co_return std::nullopt;
+    }
+    if (upstream.openConnections >= m_core.connectionLimit(m_service)) {
+        co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
+    }
+    if (m_core.upstreamTable.load(upstream, http::now()) > upstream.report.slots) {
+        m_core.connections.closeOldest(upstream.report.id); // the upstream accepts fewer connections now; kept ones count too
+    }
+    attempt->connection = std::make_shared<http::Connection>(m_core.context);
+    ++upstream.openConnections;
+    attempt->connection->countToken = std::shared_ptr<void>(nullptr, [pointer = attempt->upstream](void *) {
+        --pointer->openConnections;
+    });
+    attempt->connection->readDeadline.set(std::min<base::Duration>(s_connectTimeout, m_deadline - http::now()));
+    const auto endpoint = http::parseEndpoint(upstream.report.address);
+    const http::ErrorCode error = co_await attempt->connection->connect(endpoint);
+    if (error || attempt->aborted) {
+        attempt->connection->close();
+        co_return AttemptEnd{AttemptVerdict::Unreachable, false, true, std::nullopt};
+    }
+    attempt->connectedAt = http::now();
+    enableDeadPeerDetection(*attempt->connection, m_core.connections.options().unacknowledgedTimeout, m_core.connections.options().keepAliveSeconds);
+    m_core.metrics.increment("trefoilstile_upstream_connections_opened_total", {{"service", m_service}});
+    if (co_await resetBeforeWriting(attempt)) {
+        attempt->connection->close();
+        co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
+    }
+    co_return std::nullopt;
+}
+
+boost::asio::awaitable<bool> Exchange::resetBeforeWriting(std::shared_ptr<Attempt> attempt)
+{
+    const base::TimePoint now = http::now();
+    if (!m_core.upstreamTable.connectionRestrained(*attempt->upstream, m_core.connectionLimit(m_service), now)) {
+        co_return false;
+    }
+    boost::asio::steady_timer timer(m_core.context, attempt->upstream->connectionRestraint->resetDelay() + s_resetMargin);
+    http::ErrorCode ignored; // the timer is not cancelled
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    if (!attempt->connection->peerClosed() || attempt->aborted) {
+        co_return false;
+    }
+    noteConnectionReset(*attempt, false, http::now());
+    co_return true;
+}
+
+void Exchange::noteConnectionReset(const Attempt &attempt, bool written, base::TimePoint now)
+{
+    if (!attempt.connectedAt || attempt.answered || attempt.aborted || now - *attempt.connectedAt > s_resetAfterConnect) {
+        return;
+    }
+    // The wait before writing shows that it was reset, but not when.
+    const base::Duration delay = written ? now - *attempt.connectedAt : base::Duration::zero();
+    m_core.upstreamTable.connectionReset(*attempt.upstream, delay, now);
+    m_core.metrics.increment("trefoilstile_upstream_connections_reset_total", {{"service", m_service}, {"request", written ? "written" : "not_written"}});
+    LogLine line("connection_reset");
+    line.text("upstream", attempt.upstream->report.id)
+        .real("load", m_core.upstreamTable.load(*attempt.upstream, now))
+        .number("open", attempt.upstream->openConnections)
+        .flag("written", written)
+        .milliseconds("pause_ms", attempt.upstream->connectionBackOff.pause);
+    m_core.log.write(line, now);
+}
+
 boost::asio::awaitable<AttemptEnd> Exchange::exchangeWith(std::shared_ptr<Attempt> attempt)
 {
-    const ingress::UpstreamReport &upstream = attempt->upstream->report;
-    attempt->connection = m_core.connections.take(upstream.id, !m_route->route.idempotent, http::now());
-    if (!attempt->connection) {
-        if (attempt->upstream->openConnections >= m_core.connectionLimit(m_service)) {
-            co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
-        }
-        attempt->connection = std::make_shared<http::Connection>(m_core.context);
-        ++attempt->upstream->openConnections;
-        attempt->connection->countToken = std::shared_ptr<void>(nullptr, [upstream = attempt->upstream](void *) {
-            --upstream->openConnections;
-        });
-        attempt->connection->readDeadline.set(std::min<base::Duration>(s_connectTimeout, m_deadline - http::now()));
-        const auto endpoint = http::parseEndpoint(upstream.address);
-        const http::ErrorCode error = co_await attempt->connection->connect(endpoint);
-        if (error || attempt->aborted) {
-            attempt->connection->close();
-            co_return AttemptEnd{AttemptVerdict::Unreachable, false, true, std::nullopt};
-        }
-        enableDeadPeerDetection(*attempt->connection, m_core.connections.options().unacknowledgedTimeout, m_core.connections.options().keepAliveSeconds);
-        m_core.metrics.increment("trefoilstile_upstream_connections_opened_total", {{"service", m_service}});
+    if (auto end = co_await connect(attempt)) {
+        co_return std::move(*end);
     }
     const base::TimePoint now = http::now();
     if (const std::string_view obstacle = writeObstacle(*attempt, now); !obstacle.empty()) {
@@ -112,10 +173,16 @@
     const http::ErrorCode error = co_await attempt->connection->write(std::move(buffers), m_deadline - now, written);
     if (error) {
         attempt->connection->close();
+        noteConnectionReset(*attempt, written > 0, http::now());
         co_return AttemptEnd{AttemptVerdict::Broken, written > 0, written == 0, std::nullopt};
     }
     AttemptEnd end = co_await readResponse(attempt);
     end.reached = true;
+    if (end.response && attempt->connectedAt) {
+        m_core.upstreamTable.connectionServed(*attempt->upstream);
+    } else if (end.verdict == AttemptVerdict::Broken) {
+        noteConnectionReset(*attempt, true, http::now()); // proves nothing about the request: it was written
+    }
     co_return end;
 }
 
@@ -142,6 +209,7 @@
         if (!headRead) {
             break;
         }
+        attempt->answered = true;
         applyUpstreamFields(*attempt, head);
         ResponseBody body(m_core.responseBudget);
         if (!body.reserve(m_request.method == "HEAD" ? 0 : head.contentLength.value_or(0))) {
--- a/src/proxy/upstream_connections.cpp
+++ b/src/proxy/upstream_connections.cpp
@@ -48,6 +48,21 @@
     return nullptr;
 }
 
+bool UpstreamConnections::has(const std::string &upstreamId, base::TimePoint now) const
+{
+    const auto found = m_idle.find(upstreamId);
+    return found != m_idle.end() && !found->second.empty() && now < found->second.back().usableUntil;
+}
+
+void UpstreamConnections::closeOldest(const std::string &upstreamId)
+{
+    const auto found = m_idle.find(upstreamId);
+    if (found != m_idle.end() && !found->second.empty()) {
+        found->second.front().connection->close();
+        found->second.erase(found->second.begin());
+    }
+}
+
 void UpstreamConnections::keep(const std::string &upstreamId, std::shared_ptr<http::Connection> connection, const std::string *keepAlive, base::TimePoint now)
 {
     base::Duration longest = m_options.maximumIdle;
