--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -4,11 +4,13 @@
 // same way (rendezvous hashing), so that each object is processed by few upstreams without coordination between instances.
 // Among the ranked upstreams the one with the lowest expected cost is chosen: the wait for a slot, plus the extra time of cold
 // work if the object is not known to be warm there. Work thus moves to another upstream only when waiting would take longer
-// than cold work. A request that cannot be answered before its deadline is rejected immediately.
+// than cold work. Where upstreams report the speed of their machine, all of these times are multiplied by it, and the extra time
+// of the work itself is added. A request that cannot be answered before its deadline is rejected immediately.
 #pragma once
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -64,6 +66,9 @@
     std::size_t minimumCandidates = 8;
     /// Maximum expected wait, as a fraction of the time left until the deadline.
     double deadlineShare = 0.9;
+    /// An upstream is avoided because a new connection to it would probably be reset only if another one costs at most this
+    /// fraction of the latency objective more.
+    double connectionCost = 0.5;
 };
 
 /// Options for a limit on the share of a region's requests that changes region within 2 s. A third of the limit is used for
@@ -99,6 +104,8 @@
     std::span<const Upstream *const> excluded; ///< upstreams that were tried before
     base::Duration timeLeft{}; ///< until the deadline of the caller or the route
     const Account *account = nullptr; ///< account of the caller; null without one
+    std::size_t connectionLimit = 1'000'000; ///< connections that this instance may have to one upstream
+    std::function<bool(const Upstream &)> reusable{}; ///< whether an open connection to the upstream is free for the request; empty: none is
 };
 
 /// True if upstreams of the region may serve the request. The regions of the route and those of the account both bind.
@@ -178,7 +185,7 @@
         double load{};
         double slots{};
         base::Duration wait{}; ///< expected wait for a slot
-        base::Duration cost{}; ///< `wait` plus the expected extra time of cold work
+        base::Duration cost{}; ///< `wait` plus the expected extra time of cold work and of a slow machine
         bool warm = false; ///< the object is known to be warm there
     };
 
