Control overload by the cost of refusals to callers

When capacity is short, placement allowed less urgent requests a shorter queue and refused what found the queue full. Requests that had been refused before, and are late whenever they are served, took the slots of new ones.

OverloadControl holds the fraction of the offered work to refuse, from the load per slot, and refuses the work of the lowest value per slot time: late tries first, then work beyond the share of its account, then by priority, objective and work. PlacementOptions::overloadMode and the setting overload-control (off, on, auto) turn it on; auto needs accounts or reported speeds.

--- a/bench/cost/decision_cost.cpp
+++ b/bench/cost/decision_cost.cpp
@@ -108,8 +108,8 @@
 
 /// Placement of a request of the entry process among the upstreams of one service, and the work of a tick.
 struct PlacementWorld {
-    explicit PlacementWorld(std::size_t upstreams)
-        : placement(upstreamTable, "r0", "r0a", 1)
+    explicit PlacementWorld(std::size_t upstreams, const ingress::PlacementOptions &options = {})
+        : placement(upstreamTable, "r0", "r0a", 1, options)
     {
         upstreamTable.setRegions({{"r0a", "r0"}, {"r0b", "r0"}, {"r1a", "r1"}, {"r1b", "r1"}, {"r2a", "r2"}, {"r2b", "r2"}});
         ingress::Service service;
@@ -150,6 +150,37 @@
     }
 }
 
+/// Placement under overload control, with 80 accounts and four kinds, while the service refuses requests.
+void placeUnderOverload(benchmark::State &state)
+{
+    ingress::PlacementOptions options;
+    options.overloadMode = ingress::OverloadMode::On;
+    PlacementWorld world(static_cast<std::size_t>(state.range(0)), options);
+    std::vector<ingress::Account> accounts(80);
+    std::vector<ingress::Route> routes(4, world.route);
+    for (std::size_t i = 0; i < accounts.size(); ++i) {
+        accounts[i].name = "account-" + std::to_string(i);
+    }
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        routes[i].name = "route-" + std::to_string(i);
+        routes[i].priority = static_cast<std::uint32_t>(i % 3);
+    }
+    std::uint64_t key = 0;
+    for (auto _ : state) {
+        if (++key % 100 == 0) {
+            world.now += 100ms;
+            state.PauseTiming();
+            for (const ingress::UpstreamTable::Pointer &upstream : world.upstreamTable.ofService("ledger")) {
+                world.upstreamTable.applyReportedLoad(*upstream, {9, 7, 9}, world.now);
+            }
+            state.ResumeTiming();
+        }
+        benchmark::DoNotOptimize(
+            world.placement.choose({routes[key % 4], "ledger", base::mixBits(key), {}, 2s, &accounts[key % 80]}, world.configuration, world.now));
+    }
+    state.counters["refused_fraction"] = world.placement.overload("ledger")->refusedFraction();
+}
+
 void advancePlacement(benchmark::State &state)
 {
     PlacementWorld world(static_cast<std::size_t>(state.range(0)));
@@ -187,7 +218,8 @@
 }
 
 BENCHMARK(logRequest);
-BENCHMARK(placeRequest)->Arg(36)->Arg(411)->Arg(3'000)->Arg(19'000);
+BENCHMARK(placeUnderOverload)->Arg(411)->Arg(1'353);
+BENCHMARK(placeRequest)->Arg(36)->Arg(411)->Arg(1'353)->Arg(3'000)->Arg(19'000);
 BENCHMARK(advancePlacement)->Arg(36)->Arg(411)->Arg(3'000)->Arg(19'000);
 BENCHMARK(chooseAndFinish<upstream::LeastOutstanding>)->Arg(12)->Arg(36)->Arg(360);
 BENCHMARK(chooseAndFinish<upstream::PowerOfTwoChoices>)->Arg(36);
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -18,12 +18,20 @@
 
 #include "trefoilstile/ingress/configuration.hpp"
 #include "trefoilstile/ingress/fleet_limits.hpp"
+#include "trefoilstile/ingress/overload_control.hpp"
 #include "trefoilstile/ingress/region_split.hpp"
 #include "trefoilstile/ingress/upstream_table.hpp"
 
 namespace trefoilstile::ingress
 {
 
+/// Services that are under overload control.
+enum class OverloadMode : std::uint8_t {
+    Off,
+    On, ///< all
+    Auto, ///< all if the configuration has accounts; otherwise those whose upstreams report their speed
+};
+
 struct PlacementOptions {
     /// Extra time of cold work, as a fraction of the route's latency objective. Objectives lie between the time of warm and the
     /// time of cold work.
@@ -64,6 +72,9 @@
     std::size_t minimumCandidates = 8;
     /// Maximum expected wait, as a fraction of the time left until the deadline.
     double deadlineShare = 0.9;
+    /// Services whose queues are limited by `OverloadControl` instead of `queuePerSlot` and `deadlineShare`.
+    OverloadMode overloadMode = OverloadMode::Off;
+    OverloadOptions overload;
 };
 
 /// Options for a limit on the share of a region's requests that changes region within 2 s. A third of the limit is used for
@@ -108,6 +119,7 @@
     double load{}; ///< estimated load of the chosen upstream, in requests
     base::Duration wait{}; ///< expected wait for a slot of the chosen upstream
     base::Duration retryAfter{}; ///< set if the outcome is `NoRoom`: time until capacity is expected
+    RefusalReason refusal = RefusalReason::None; ///< why the outcome is `NoRoom`; set only under overload control
     std::string plannedRegion; ///< according to the region split
     std::size_t candidates{}; ///< number of upstreams considered in the planned region, or in all regions if the planned one has none in use
     double leastLoadPerSlot{}; ///< minimum over the candidates
@@ -142,6 +154,12 @@
         m_members = members;
     }
 
+    /// Records whether the upstreams of a service report their speed, which `OverloadMode::Auto` depends on.
+    void setReportsSpeed(std::string_view service, bool reports)
+    {
+        state(service).reportsSpeed = reports;
+    }
+
     /// Updates the failure limits and the region split of each service. Must be called a few times per second, less often with many
     /// upstreams.
     void advance(const Configuration &configuration, base::TimePoint now);
@@ -152,6 +170,9 @@
     /// Shares of the regions in the requests to a service; empty if the service is unknown.
     std::map<std::string, double, std::less<>> shares(std::string_view service) const;
 
+    /// Overload control of a service; null if the service is unknown. It changes only while the service is under overload control.
+    const OverloadControl *overload(std::string_view service) const;
+
 private:
     struct Candidate {
         const UpstreamTable::Pointer *upstream{};
@@ -176,6 +197,8 @@
         SpillLimit spill{0};
         std::map<const Upstream *, WarmUpShare> warmUp;
         std::map<std::string, RegionGroup, std::less<>> groups; ///< by region
+        OverloadControl overload;
+        bool reportsSpeed = false;
         std::optional<std::uint64_t> groupsVersion; ///< version of the upstream table from which `groups` was built
     };
 
@@ -186,7 +209,18 @@
         base::TimePoint quietUntil = base::TimePoint::max(); ///< earliest end of a pause that an upstream has asked for; max: none has
     };
 
+    /// Decision of the overload control about one request.
+    struct ControlledRequest {
+        OverloadControl *control{}; ///< null if the service is not under overload control
+        OverloadControl::Request request;
+        OverloadControl::Admission admission;
+        bool counted = false; ///< a first attempt; further ones have been admitted before
+    };
+
     ServiceState &state(std::string_view service);
+    ControlledRequest underControl(ServiceState &service, const PlacementRequest &request, const Configuration &configuration);
+    /// True if the candidate's queue has room for the request.
+    bool hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const;
     void updateDivertedShare(std::string_view service, ServiceState &serviceState, base::TimePoint now);
     /// True if the upstream is not warming up, or if this instance's warm-up share allows a request now, which it then takes.
     bool admitsDuringWarmUp(ServiceState &service, const Upstream &upstream, const Configuration &configuration, base::TimePoint now);
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -76,8 +76,11 @@
 private:
     void splitRegions(base::TimePoint now);
     void logSplits(base::TimePoint now);
+    /// Sets the gauges of overload control, and logs when the price of a service starts and stops to bind.
+    void reportOverload(base::TimePoint now);
 
     std::map<std::string, std::map<std::string, double, std::less<>>, std::less<>> m_loggedShares; ///< last logged shares, by service and region
+    std::map<std::string, double, std::less<>> m_loggedPrices; ///< by service
     base::TimePoint m_nextSplit; ///< earliest time of the next update of the regional split
     std::map<std::string, ingress::RetryShare, std::less<>> m_retryShares; ///< by service
 };
--- a/include/trefoilstile/proxy/settings.hpp
+++ b/include/trefoilstile/proxy/settings.hpp
@@ -9,6 +9,7 @@
 #include "trefoilstile/base/error.hpp"
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/ingress/instance_capacity.hpp"
+#include "trefoilstile/ingress/placement.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -34,6 +35,7 @@
     double retrySlack = 0; ///< retries per window beyond the ratio, over all instances
     base::Duration leavingBound = std::chrono::seconds(2); ///< time after which an upstream that was reported as draining or removed gets no requests
     double shiftLimit = 0.15; ///< fraction of a region's requests that may move to another region within 2 s
+    ingress::OverloadMode overloadControl = ingress::OverloadMode::Auto; ///< services under overload control
     bool firstStart = false; ///< the whole system starts for the first time, so that no caller waits for it
     std::string settingsFile; ///< path of the file that was read; empty: none
 };
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -53,6 +53,7 @@
         ServiceState created;
         created.split = RegionSplit(m_options.split);
         created.spill = SpillLimit(m_options.spillShare);
+        created.overload = OverloadControl(m_options.overload);
         found = m_services.emplace(std::string(service), std::move(created)).first;
     }
     return found->second;
@@ -64,6 +65,12 @@
     return found == m_services.end() ? std::map<std::string, double, std::less<>>() : found->second.split.shares();
 }
 
+const OverloadControl *Placement::overload(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second.overload;
+}
+
 void Placement::advance(const Configuration &configuration, base::TimePoint now)
 {
     m_upstreams.updateFailureLimits(now);
@@ -82,6 +89,7 @@
         }
         ServiceState &serviceState = state(name);
         updateDivertedShare(name, serviceState, now);
+        serviceState.overload.advance(now);
         if (const auto own = regions.find(m_ownRegion); own != regions.end()) {
             own->second.demand /= 1 - serviceState.divertedShare;
         }
@@ -220,6 +228,32 @@
     return result;
 }
 
+Placement::ControlledRequest Placement::underControl(ServiceState &service, const PlacementRequest &request, const Configuration &configuration)
+{
+    const bool automatic = !configuration.accounts.empty() || service.reportsSpeed;
+    const bool controlled = m_options.overloadMode == OverloadMode::On || (m_options.overloadMode == OverloadMode::Auto && automatic);
+    ControlledRequest result{nullptr, {request.route, request.account, request.key, {}}, {}, request.excluded.empty()};
+    if (controlled) {
+        result.control = &service.overload;
+        result.request.cost = requestCost(request.route, request.account, request.timeLeft, m_options.overload.cost);
+    }
+    return result;
+}
+
+bool Placement::hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const
+{
+    const bool cold = candidate.rank != 0 && !candidate.warm;
+    if (cold && candidate.load + 1 > candidate.slots * m_options.coldUtilizationLimit) {
+        return false;
+    }
+    if (controlled.control != nullptr) {
+        return controlled.control->queueLimit(controlled.request.cost, cold).allows(candidate.load, candidate.slots, candidate.wait);
+    }
+    const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
+    const auto maximumWait = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
+    return (cold || candidate.load + 1 <= candidate.slots * (1 + queuePerSlot)) && candidate.wait <= maximumWait;
+}
+
 PlacementResult Placement::choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now)
 {
     PlacementResult result;
@@ -283,13 +317,22 @@
             return result;
         }
     }
-    const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
-    const auto maximumWait = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
+    ControlledRequest controlled = underControl(service, request, configuration);
+    const bool counted = controlled.control != nullptr && controlled.counted;
+    if (counted) {
+        double loadPerSlot = 0;
+        for (const Candidate &candidate : local) {
+            loadPerSlot += candidate.load / candidate.slots;
+        }
+        controlled.admission = controlled.control->arrived(controlled.request, loadPerSlot / static_cast<double>(local.size()), now);
+        result.refusal = controlled.admission.refusal;
+    }
     for (const Candidate &candidate : local) {
-        const bool cold = candidate.rank != 0 && !candidate.warm;
-        const bool fits = candidate.load + 1 <= candidate.slots * (cold ? m_options.coldUtilizationLimit : 1 + queuePerSlot);
         const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
-        if (fits && candidate.wait <= maximumWait && tryChoose(candidate, reason)) {
+        if (result.refusal == RefusalReason::None && hasRoom(candidate, request, controlled) && tryChoose(candidate, reason)) {
+            if (counted) {
+                controlled.control->placed(controlled.request, controlled.admission);
+            }
             return result;
         }
     }
@@ -297,6 +340,12 @@
     result.retryAfter = std::max(m_options.minimumRetryAfter, minimumOf(local, [](const Candidate &candidate) {
         return candidate.wait;
     }));
+    if (counted) {
+        if (result.refusal == RefusalReason::None) {
+            result.refusal = RefusalReason::NoRoom;
+        }
+        result.retryAfter = controlled.control->refused(controlled.request, controlled.admission, now);
+    }
     return result;
 }
 
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -22,6 +22,13 @@
 /// bodies, connections and the tables need the rest.
 constexpr double s_responseMemoryShare = 0.25;
 
+ingress::PlacementOptions placementOptions(const Settings &settings)
+{
+    ingress::PlacementOptions options = ingress::placementOptions(settings.shiftLimit);
+    options.overloadMode = settings.overloadControl;
+    return options;
+}
+
 } // namespace
 
 EntryCore::EntryCore(boost::asio::io_context &ioContext, Settings processSettings, HeaderNames headerNames, std::uint64_t seed)
@@ -30,7 +37,7 @@
     , names(std::move(headerNames))
     , random(seed)
     , upstreamTable(ingress::upstreamTableOptions(settings.leavingBound))
-    , placement(upstreamTable, settings.region, settings.failureDomain, base::stableHash(settings.name), ingress::placementOptions(settings.shiftLimit))
+    , placement(upstreamTable, settings.region, settings.failureDomain, base::stableHash(settings.name), placementOptions(settings))
 {
     responseBudget = std::make_shared<http::BodyBudget>();
     responseBudget->limit = static_cast<std::uint64_t>(settings.memoryMegabytes * 1e6 * s_responseMemoryShare);
@@ -63,6 +70,27 @@
     if (routes && upstreamsKnown) {
         placement.advance(configuration, now);
         logSplits(now);
+        reportOverload(now);
+    }
+}
+
+void EntryCore::reportOverload(base::TimePoint now)
+{
+    for (const auto &[service, description] : configuration.services) {
+        const ingress::OverloadControl *control = placement.overload(service);
+        const double price = control == nullptr ? 0 : control->price();
+        double &logged = m_loggedPrices[service];
+        if (price == 0 && logged == 0) {
+            continue;
+        }
+        metrics.set("trefoilstile_overload_price", {{"service", service}}, price);
+        metrics.set("trefoilstile_overload_refused_fraction", {{"service", service}}, control->refusedFraction());
+        if ((price > 0) != (logged > 0)) {
+            LogLine line("overload");
+            line.text("service", service).flag("binding", price > 0).real("price", price).real("refused_fraction", control->refusedFraction());
+            log.write(line, now);
+        }
+        logged = price;
     }
 }
 
--- a/src/proxy/exchange_log.cpp
+++ b/src/proxy/exchange_log.cpp
@@ -53,6 +53,21 @@
     return "none";
 }
 
+std::string_view refusalName(ingress::RefusalReason reason)
+{
+    switch (reason) {
+    case ingress::RefusalReason::Price:
+        return "price";
+    case ingress::RefusalReason::Early:
+        return "early";
+    case ingress::RefusalReason::NoRoom:
+        return "no_room";
+    case ingress::RefusalReason::None:
+        break;
+    }
+    return "none";
+}
+
 } // namespace
 
 void Exchange::logGivenUp(const Attempt &attempt, std::uint64_t bytes) const
@@ -84,6 +99,11 @@
         line.text("planned_region", m_lastPlacement.plannedRegion).number("candidates", static_cast<std::int64_t>(m_lastPlacement.candidates));
         line.real("least_load_per_slot", m_lastPlacement.leastLoadPerSlot);
     }
+    if (m_lastPlacement.refusal != ingress::RefusalReason::None) {
+        const std::string refusal(refusalName(m_lastPlacement.refusal));
+        line.text("refusal", refusal);
+        m_core.metrics.increment("trefoilstile_overload_refused_total", {{"service", m_service}, {"reason", refusal}});
+    }
     for (std::size_t i = 0; i < m_attempts.size(); ++i) {
         const Attempt &attempt = *m_attempts[i];
         const std::string prefix = i == 0 ? "" : fmt::format("retry{}_", i);
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -125,6 +125,10 @@
     add(app, "--leaving-bound", leavingBound, "LEAVING_BOUND", "Time after which a leaving upstream gets no more requests", checkDuration);
     app.add_option("--shift-limit", settings.shiftLimit, "Fraction of a region's requests that may move to another region within 2 s")
         ->check(CLI::Range(0.001, 1.0));
+    const std::map<std::string, ingress::OverloadMode> overloadModes{
+        {"off", ingress::OverloadMode::Off}, {"on", ingress::OverloadMode::On}, {"auto", ingress::OverloadMode::Auto}};
+    app.add_option("--overload-control", settings.overloadControl, "Services whose requests are refused by their cost to callers: off, on or auto")
+        ->transform(CLI::CheckedTransformer(overloadModes));
     app.add_option("--first-start", settings.firstStart, "Whether the whole system starts for the first time: true or false");
     std::vector<std::string> reversed(arguments.rbegin(), arguments.rend()); // CLI11 expects the arguments in reverse order
     try {
