--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -52,6 +52,7 @@
         ServiceState created;
         created.split = RegionSplit(m_options.split);
         created.spill = SpillLimit(m_options.spillShare);
+        created.overload = OverloadControl(m_options.overload);
         found = m_services.emplace(std::string(service), std::move(created)).first;
     }
     return found->second;
@@ -63,6 +64,12 @@
     return found == m_services.end() ? std::map<std::string, double, std::less<>>() : found->second.split.shares();
 }
 
+const OverloadControl *Placement::overload(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second.overload;
+}
+
 void Placement::advance(const Configuration &configuration, base::TimePoint now)
 {
     m_upstreams.updateFailureLimits(now);
@@ -73,7 +80,8 @@
             regions[region].demand = demand;
         }
         bool known = false;
-        for (const UpstreamTable::Pointer &upstream : m_upstreams.ofService(name)) {
+        const std::vector<UpstreamTable::Pointer> &upstreams = m_upstreams.ofService(name);
+        for (const UpstreamTable::Pointer &upstream : upstreams) {
             if (m_upstreams.usable(*upstream) && !m_upstreams.avoided(*upstream, now)) {
                 regions[upstream->region].capacity += upstream->report.slots;
                 known = true;
@@ -81,6 +89,10 @@
         }
         ServiceState &serviceState = state(name);
         updateDivertedShare(name, serviceState, now);
+        serviceState.overload.advance(now);
+        serviceState.reportsSpeed = std::any_of(upstreams.begin(), upstreams.end(), [](const UpstreamTable::Pointer &upstream) {
+            return upstream->speed.known();
+        });
         if (const auto own = regions.find(m_ownRegion); own != regions.end()) {
             own->second.demand /= 1 - serviceState.divertedShare;
         }
@@ -88,7 +100,6 @@
             serviceState.split.update(m_ownRegion, regions, serviceState.spill.hasRecentRequests(now), now);
         }
         std::erase_if(serviceState.warmUp, [&](const auto &entry) {
-            const auto &upstreams = m_upstreams.ofService(name);
             return std::none_of(upstreams.begin(), upstreams.end(), [&](const UpstreamTable::Pointer &upstream) {
                 return upstream.get() == entry.first;
             });
@@ -221,6 +232,32 @@
     return result;
 }
 
+Placement::ControlledRequest Placement::underControl(ServiceState &service, const PlacementRequest &request, const Configuration &configuration)
+{
+    const bool automatic = !configuration.accounts.empty() || service.reportsSpeed;
+    const bool controlled = m_options.overloadMode == OverloadMode::On || (m_options.overloadMode == OverloadMode::Auto && automatic);
+    ControlledRequest result{nullptr, {request.route, request.account, request.key, {}}, {}, request.excluded.empty()};
+    if (controlled) {
+        result.control = &service.overload;
+        result.request.cost = requestCost(request.route, request.account, request.timeLeft, m_options.overload.cost);
+    }
+    return result;
+}
+
+bool Placement::hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const
+{
+    const bool cold = candidate.rank != 0 && !candidate.warm;
+    if (cold && candidate.load + 1 > candidate.slots * m_options.coldUtilizationLimit) {
+        return false;
+    }
+    if (controlled.control != nullptr) {
+        return controlled.control->queueLimit(controlled.request.cost, cold).allows(candidate.load, candidate.slots, candidate.wait);
+    }
+    const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
+    const auto maximumWait = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
+    return (cold || candidate.load + 1 <= candidate.slots * (1 + queuePerSlot)) && candidate.wait <= maximumWait;
+}
+
 PlacementResult Placement::choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now)
 {
     PlacementResult result;
@@ -284,32 +321,48 @@
             return result;
         }
     }
-    const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
-    const auto maximumWait = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
+    ControlledRequest controlled = underControl(service, request, configuration);
+    const bool counted = controlled.control != nullptr && controlled.counted;
+    if (counted) {
+        double loadPerSlot = 0;
+        for (const Candidate &candidate : local) {
+            loadPerSlot += candidate.load / candidate.slots;
+        }
+        controlled.admission = controlled.control->arrived(controlled.request, loadPerSlot / static_cast<double>(local.size()), now);
+        result.refusal = controlled.admission.refusal;
+    }
     const auto restrained = [&](const Candidate &candidate) {
         const Upstream &upstream = **candidate.upstream;
         return m_upstreams.connectionRestrained(upstream, request.connectionLimit, now) && !(request.reusable && request.reusable(upstream));
     };
     const auto connectionCost = std::chrono::duration_cast<base::Duration>(m_options.connectionCost * request.route.latencyObjective);
-    std::vector<std::pair<const Candidate *, PlacementReason>> needConnections; // fit, but a new connection would probably be reset
+    const auto accept = [&](const Candidate &candidate) {
+        const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
+        if (!tryChoose(candidate, reason)) {
+            return false;
+        }
+        if (counted) {
+            controlled.control->placed(controlled.request, controlled.admission);
+        }
+        return true;
+    };
+    std::vector<const Candidate *> needConnections; // have room, but a new connection would probably be reset
     for (const Candidate &candidate : local) {
-        if (!needConnections.empty() && candidate.cost > needConnections.front().first->cost + connectionCost) {
+        const bool dearer = !needConnections.empty() && candidate.cost > needConnections.front()->cost + connectionCost;
+        if (result.refusal != RefusalReason::None || dearer) {
             break;
         }
-        const bool cold = candidate.rank != 0 && !candidate.warm;
-        const bool fits = candidate.load + 1 <= candidate.slots * (cold ? m_options.coldUtilizationLimit : 1 + queuePerSlot);
-        const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
-        if (!fits || candidate.wait > maximumWait) {
+        if (!hasRoom(candidate, request, controlled)) {
             continue;
         }
         if (restrained(candidate)) {
-            needConnections.emplace_back(&candidate, reason);
-        } else if (tryChoose(candidate, reason)) {
+            needConnections.push_back(&candidate);
+        } else if (accept(candidate)) {
             return result;
         }
     }
-    for (const auto &[candidate, reason] : needConnections) {
-        if (tryChoose(*candidate, reason)) {
+    for (const Candidate *candidate : needConnections) {
+        if (accept(*candidate)) {
             return result;
         }
     }
@@ -317,6 +370,12 @@
     result.retryAfter = std::max(m_options.minimumRetryAfter, minimumOf(local, [](const Candidate &candidate) {
         return candidate.wait;
     }));
+    if (counted) {
+        if (result.refusal == RefusalReason::None) {
+            result.refusal = RefusalReason::NoRoom;
+        }
+        result.retryAfter = controlled.control->refused(controlled.request, controlled.admission, now);
+    }
     return result;
 }
 
