--- a/bench/placement/emulator.hpp
+++ b/bench/placement/emulator.hpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <concepts>
 #include <memory>
 #include <set>
 #include <string>
@@ -16,6 +15,7 @@
 #include <fmt/format.h>
 
 #include "emulated_upstream.hpp"
+#include "placement_policy.hpp"
 #include "result.hpp"
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/ingress/placement.hpp"
@@ -23,15 +23,6 @@
 namespace trefoilstile::bench::placement
 {
 
-// clang-format off
-template<typename T>
-concept PlacementPolicy = requires(T policy, const ingress::PlacementRequest &request, const ingress::Configuration &configuration, base::TimePoint now)
-{
-    policy.advance(configuration, now);
-    { policy.choose(request, configuration, now) } -> std::same_as<ingress::PlacementResult>;
-};
-// clang-format on
-
 template<PlacementPolicy Policy>
 class Emulator
 {
