--- a/bench/overload/emulation.cpp
+++ b/bench/overload/emulation.cpp
@@ -142,6 +142,11 @@
             m_result.groups.push_back({"hot account", {}});
         }
     }
+    if (m_day.conduct.impatientPart > 0) {
+        m_conductGroups = m_result.groups.size();
+        m_result.groups.push_back({"patient callers", {}});
+        m_result.groups.push_back({"impatient callers", {}});
+    }
 }
 
 void Emulation::addInstances(const Variant &variant)
--- a/bench/overload/emulation.hpp
+++ b/bench/overload/emulation.hpp
@@ -110,6 +110,7 @@
     std::array<std::vector<std::size_t>, s_regions> m_instancesOfRegion;
     std::unordered_map<std::uint64_t, Machine> m_machines; ///< by `Upstream::hash`
     std::vector<Stream> m_streams;
+    std::size_t m_conductGroups{}; ///< index of the group of patient callers, before that of impatient ones; 0 without them
     RunResult m_result;
 };
 
--- a/bench/overload/emulation_requests.cpp
+++ b/bench/overload/emulation_requests.cpp
@@ -198,6 +198,9 @@
     if (request.accountGroup != 0) {
         m_result.groups[request.accountGroup].tally.add(outcome);
     }
+    if (m_conductGroups != 0) {
+        m_result.groups[m_conductGroups + (request.impatient ? 1 : 0)].tally.add(outcome);
+    }
 }
 
 } // namespace trefoilstile::bench::overload
--- a/bench/overload/outcome.hpp
+++ b/bench/overload/outcome.hpp
@@ -43,7 +43,7 @@
 };
 
 struct Group {
-    std::string name; ///< of a kind, or of a group of accounts
+    std::string name; ///< of a kind, or of a group of accounts or callers
     Tally tally;
 
     friend bool operator==(const Group &, const Group &) = default;
@@ -51,7 +51,7 @@
 
 /// Result of one seed.
 struct RunResult {
-    std::vector<Group> groups; ///< "all", the kinds, then the groups of accounts
+    std::vector<Group> groups; ///< "all", the kinds, then the groups of accounts and callers
     std::vector<Tally> seconds; ///< by the time of arrival; includes the time that the groups leave out
 
     friend bool operator==(const RunResult &, const RunResult &) = default;
--- a/bench/overload/overload_bench_test.cpp
+++ b/bench/overload/overload_bench_test.cpp
@@ -150,6 +150,12 @@
     BOOST_TEST(groupNamed(once, "all").share(Outcome::Refused) == 0); // 300 ms, below a third of 2 s
     BOOST_TEST(std::abs(groupNamed(once, "all").share(Outcome::RefusedAgain) - 0.5) < s_tolerance);
     BOOST_TEST(std::abs(static_cast<double>(groupNamed(once, "reads").sent()) - 480.0 * 16) < 4 * std::sqrt(480.0 * 16));
+    const RunResult mixed = runOf(dayOf("load: 1\ncallers: {returns: 0, impatient_part: 0.25, impatient_tries: 3}"), leastLoad(), 5);
+    const double impatient = static_cast<double>(groupNamed(mixed, "impatient callers").sent());
+    BOOST_TEST(std::abs(impatient / static_cast<double>(groupNamed(mixed, "all").sent()) - 0.25) < 0.03);
+    BOOST_TEST(groupNamed(mixed, "patient callers").share(Outcome::RefusedAgain) == 0);
+    BOOST_TEST(groupNamed(mixed, "impatient callers").share(Outcome::Refused) == 0);
+    BOOST_TEST(groupNamed(mixed, "impatient callers").share(Outcome::RefusedAgain) > 0);
 }
 
 // Guards against messages that leave the writer of a file in search of the fault.
--- a/bench/overload/page.cpp
+++ b/bench/overload/page.cpp
@@ -1,4 +1,4 @@
-// Plots of an experiment as inline SVG: bars with error bars by kind and account group, and time lines.
+// Plots of an experiment as inline SVG: bars with error bars by group of requests, and time lines.
 
 #include "page.hpp"
 
@@ -30,7 +30,7 @@
 svg text{fill:var(--ink);font:12px system-ui,sans-serif}svg text.soft{fill:var(--soft)}
 .grid{stroke:var(--line)}.error{stroke:var(--ink);stroke-width:1.4}
 .key{display:flex;flex-wrap:wrap;gap:.3rem 1.1rem;font-size:.87rem}.key i{display:inline-block;width:.8rem;height:.8rem;border-radius:3px;margin-right:.4rem}
-.lines{display:grid;grid-template-columns:repeat(auto-fit,minmax(420px,1fr));gap:1rem 2rem}
+.lines{display:grid;grid-template-columns:repeat(auto-fit,minmax(min(420px,100%),1fr));gap:1rem 2rem}
 table{border-collapse:collapse;font-size:.85rem;font-variant-numeric:tabular-nums}
 td,th{padding:.2rem .7rem;border-bottom:1px solid var(--line);text-align:right;white-space:nowrap}td:nth-child(-n+2),th:nth-child(-n+2){text-align:left}
 details{overflow-x:auto}summary{cursor:pointer;color:var(--soft)}
@@ -245,13 +245,14 @@
     for (const Variant &variant : experiment.variants) {
         names.push_back(variant.name);
     }
-    const std::size_t firstAccountGroup = 1 + experiment.deployment.kinds.size();
+    const std::size_t endOfKinds = 1 + experiment.deployment.kinds.size();
     for (std::size_t first = 0; first + variants <= summaries.size(); first += variants) {
         const DaySummaries day(summaries.data() + first, variants);
         text += fmt::format("<h2>{}</h2>\n{}", escaped(day.front().day), key(names, variantColour));
-        text += "<section><h3>Served in time by kind of request</h3>" + bars(day, 0, firstAccountGroup) + "</section>\n";
-        if (day.front().groups.size() > firstAccountGroup) {
-            text += "<section><h3>Served in time by account</h3>" + bars(day, firstAccountGroup, day.front().groups.size()) + "</section>\n";
+        text += "<section><h3>Served in time by kind of request</h3>" + bars(day, 0, endOfKinds) + "</section>\n";
+        if (day.front().groups.size() > endOfKinds) {
+            text +=
+                "<section><h3>Served in time by account and by conduct of the caller</h3>" + bars(day, endOfKinds, day.front().groups.size()) + "</section>\n";
         }
         text += "<section><h3>Over time</h3>" + timeLines(day, experiment.settle) + figures(day) + "</section>\n";
     }
