Notice the loss of many members at once

Change: a probe that fails leads to probes of up to four other members that were not heard of since, and each of these that fails to further ones, at most 64 at a time. While a node hears from no member at all, it may be the one that is cut off: it marks members that do not answer such a probe as silent, which leaves them out of its own lookup answers, and spreads no suspicion. Once it hears from a member again, it asks the silent ones at once.

Nothing changes while no probe fails.

--- a/include/trefoilstile/ingress/entry_list.hpp
+++ b/include/trefoilstile/ingress/entry_list.hpp
@@ -34,7 +34,7 @@
 };
 
 /// Candidates for a caller: the instances of its failure domain if there are at least `minimumAddresses`, otherwise those of its
-/// region, or all instances if its region has none. Only instances that are alive and not leaving are candidates. Sorted by
+/// region, or all instances if its region has none. Only instances that are alive, not silent and not leaving are candidates. Sorted by
 /// descending spare capacity, unknown capacity first.
 std::vector<EntryCandidate> entryCandidates(
     const membership::MemberTable &members, std::string_view region, std::string_view failureDomain, EntryListOptions options = {});
--- a/include/trefoilstile/membership/failure_detector.hpp
+++ b/include/trefoilstile/membership/failure_detector.hpp
@@ -128,6 +128,7 @@
     enum class Purpose : std::uint8_t {
         Local, ///< probe of a member of this failure domain
         Remote, ///< probe of a relay of another failure domain whose record is known
+        Check, ///< of a member that was not heard of since a probe that failed
         Contact, ///< no conclusion is drawn from a missing answer
     };
 
@@ -160,7 +161,6 @@
     // failure_detector.cpp: ticks
     void advance(base::TimePoint now);
     void handlePause(base::TimePoint now);
-    void expireProbes(base::TimePoint now);
     void sendProbeRequests(std::uint64_t nonce, const OpenProbe &probe);
     void expireSuspicions(base::TimePoint now);
     void probeLocal(base::TimePoint now);
@@ -172,6 +172,13 @@
     void reportCapacity(base::TimePoint now);
     void refreshViews(base::TimePoint now);
 
+    // failure_detector_checks.cpp: probes that fail
+    void expireProbes(base::TimePoint now);
+    void probeFailed(const OpenProbe &probe, base::TimePoint now);
+    void checkOthers(const OpenProbe &failed, base::TimePoint now);
+    void checkSilent(base::TimePoint now);
+    void heardFrom(base::IncarnationId sender, base::TimePoint now);
+
     // failure_detector_receive.cpp: messages and merging
     void handle(base::IncarnationId sender, const Message &message, base::TimePoint now);
     void answer(std::uint64_t nonce, const GossipBody &body);
@@ -225,6 +232,10 @@
     ProbeRound<base::IncarnationId> m_remoteRound;
     ProbeRound<std::string> m_domainRound;
     std::map<std::uint64_t, OpenProbe> m_openProbes; ///< by nonce; bounded by the rates of sending and the timeouts
+    std::map<base::IncarnationId, base::TimePoint> m_heard; ///< last message of each member in the table
+    base::TimePoint m_lastHeard; ///< last message of any member
+    base::TimePoint m_connectedSince; ///< first message after a time without any
+    bool m_silentMembers = false; ///< some are marked in the table
     std::map<std::uint64_t, ForwardedProbe> m_forwarded; ///< by nonce, at most Options::forwardedProbes
 
     std::uint64_t m_viewVersion = ~0ULL; ///< table version from which the three lists below were built
--- a/include/trefoilstile/membership/member_table.hpp
+++ b/include/trefoilstile/membership/member_table.hpp
@@ -21,6 +21,7 @@
     MemberInfo info;
     MemberStatus status;
     bool listedLeaving = false; ///< marked by the platform's instance list; known to this node only
+    bool silent = false; ///< did not answer while this node heard from no member at all; known to this node only, which may be the one cut off
     bool disseminated = true; ///< false for a tombstone of a member that no report received here lists as alive; not gossiped, so that it expires
     base::TimePoint since; ///< when the current state was set
 
@@ -73,6 +74,9 @@
     /// Marks a member as leaving according to the platform's list. Returns false if it is unknown or already marked.
     bool markListedLeaving(base::IncarnationId incarnation);
 
+    /// Sets `MemberEntry::silent` of a member. Returns false if it is unknown or already so.
+    bool setSilent(base::IncarnationId incarnation, bool silent);
+
     /// Members with the given peer address that are not dead.
     std::vector<base::IncarnationId> atAddress(std::string_view peerAddress) const;
 
--- a/include/trefoilstile/membership/options.hpp
+++ b/include/trefoilstile/membership/options.hpp
@@ -17,6 +17,12 @@
     base::Duration exchangePeriod = std::chrono::milliseconds(500); ///< a relay probes one relay of another failure domain per period
     double periodJitter = 0.1; ///< prevents nodes from probing in lockstep
     std::size_t indirectProbes = 3; ///< members asked to probe before a member is suspected
+    /// Further members probed when a probe has failed, so that the time until lost members are noticed does not grow with their number:
+    /// 64 lost ones are known after three further rounds of `probeTimeout`. Kept low, because a node that loses a third of its messages
+    /// must not cause more probes than it answers.
+    std::size_t checksPerFailure = 4;
+    std::size_t maximumChecks = 64; ///< open at a time; bounds what the loss of many members costs
+    base::Duration isolation = std::chrono::milliseconds(1'500); ///< without any message, after which members that do not answer count as silent
     base::Duration suspicion = std::chrono::seconds(2); ///< within the failure domain
     base::Duration remoteSuspicion = std::chrono::seconds(4); ///< in other failure domains: the refutation arrives through relays
     base::Duration tombstone =
--- a/src/ingress/entry_list.cpp
+++ b/src/ingress/entry_list.cpp
@@ -13,7 +13,7 @@
     const auto select = [&](auto &&matches) {
         std::vector<EntryCandidate> candidates;
         for (const auto &[incarnation, member] : members.entries()) {
-            if (member.isAlive() && !member.isLeaving() && matches(member)) {
+            if (member.isAlive() && !member.silent && !member.isLeaving() && matches(member)) {
                 candidates.push_back({member.info.callerAddress, static_cast<double>(member.status.spareCapacity)});
             }
         }
--- a/src/ingress/entry_list_test.cpp
+++ b/src/ingress/entry_list_test.cpp
@@ -70,6 +70,20 @@
     BOOST_TEST((addresses(members, "one", "east") == std::vector<std::string>{"10.0.0.1:80"}));
 }
 
+// Guards against lost instances that are named because their loss has not been confirmed yet: this instance hears from no other one.
+BOOST_AUTO_TEST_CASE(silentInstancesAreLeftOut)
+{
+    membership::MemberTable members(64);
+    addMember(members, 1, "east", "one");
+    addMember(members, 2, "east", "one");
+    addMember(members, 3, "east", "one");
+    members.setSilent(base::IncarnationId{2}, true);
+    members.setSilent(base::IncarnationId{3}, true);
+    BOOST_TEST((addresses(members, "one", "east") == std::vector<std::string>{"10.0.0.1:80"}));
+    members.setSilent(base::IncarnationId{3}, false);
+    BOOST_TEST(addresses(members, "one", "east").size() == 2U);
+}
+
 // Guards against small instances that get as many callers as large ones. Callers choose any address of an answer, so the load of
 // each instance has to be in proportion to its spare capacity.
 BOOST_AUTO_TEST_CASE(callersAreDividedBySpareCapacity)
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -67,6 +67,7 @@
     m_lastTick = now;
     refreshViews(now);
     expireProbes(now);
+    checkSilent(now);
     expireSuspicions(now);
     probeLocal(now);
     exchange(now);
@@ -84,6 +85,7 @@
     const base::Duration gap = now - *m_lastTick;
     m_lastTick = now;
     m_now = now;
+    m_lastHeard = now;
     ++m_counters.pauses;
     m_openProbes.clear();
     m_forwarded.clear();
@@ -104,40 +106,6 @@
     sendEagerly();
 }
 
-void FailureDetector::expireProbes(base::TimePoint now)
-{
-    std::vector<base::IncarnationId> failed;
-    for (auto it = m_openProbes.begin(); it != m_openProbes.end();) {
-        OpenProbe &probe = it->second;
-        const base::Duration waited = now - probe.sent;
-        if (waited >= m_options.probeTimeout) {
-            if (probe.purpose != Purpose::Contact) {
-                failed.push_back(probe.target);
-            }
-            it = m_openProbes.erase(it);
-            continue;
-        }
-        if (probe.purpose != Purpose::Contact && !probe.indirect && waited >= m_options.directTimeout) {
-            probe.indirect = true;
-            sendProbeRequests(it->first, probe);
-        }
-        ++it;
-    }
-    for (const base::IncarnationId target : failed) {
-        ++m_counters.probesFailed;
-        const MemberEntry *entry = m_table.find(target);
-        if (entry != nullptr && entry->isAlive()) {
-            ++m_counters.suspicions;
-            setState(target, MemberState::Suspect, now);
-            // A direct notification lets the member refute before the suspicion reaches it by gossip.
-            send(entry->info.peerAddress, Gossip{makeBody(&entry->info, target)});
-        }
-    }
-    std::erase_if(m_forwarded, [this, now](const auto &forwarded) {
-        return now - forwarded.second.sent >= m_options.probeTimeout;
-    });
-}
-
 void FailureDetector::sendProbeRequests(std::uint64_t nonce, const OpenProbe &probe)
 {
     const auto eligible = [this, &probe](const MemberEntry &entry, bool local) {
@@ -145,7 +113,8 @@
     };
     std::vector<base::IncarnationId> helpers;
     // Probes of remote members are first requested from other remote members, since a link of this failure domain may be faulty.
-    for (const bool local : {probe.purpose == Purpose::Local, true}) {
+    const MemberEntry *target = m_table.find(probe.target);
+    for (const bool local : {target != nullptr && isLocal(target->info), true}) {
         for (const auto &[incarnation, entry] : m_table.entries()) {
             if (eligible(entry, local)) {
                 helpers.push_back(incarnation);
@@ -173,6 +142,11 @@
     m_table.removeIf([this, now](const MemberEntry &entry) {
         return entry.status.state == MemberState::Dead && now - entry.since >= m_options.tombstone;
     });
+    if (m_heard.size() > m_table.entries().size()) {
+        std::erase_if(m_heard, [this](const auto &heard) {
+            return m_table.find(heard.first) == nullptr;
+        });
+    }
 }
 
 void FailureDetector::probeLocal(base::TimePoint now)
@@ -272,7 +246,7 @@
     const MemberEntry *entry = m_table.find(target);
     GossipBody body = makeBody(entry == nullptr ? nullptr : &entry->info, target);
     ++m_counters.probes;
-    if (purpose == Purpose::Local) {
+    if (purpose == Purpose::Local || (purpose == Purpose::Check && entry != nullptr && isLocal(entry->info))) {
         send(address, Probe{nonce, target, std::move(body)});
     } else {
         send(address, SummaryExchange{nonce, target, std::move(body)});
--- a/src/membership/failure_detector_receive.cpp
+++ b/src/membership/failure_detector_receive.cpp
@@ -32,6 +32,7 @@
     const bool wasDead = before != nullptr && before->status.state == MemberState::Dead;
     const std::uint64_t refutations = m_counters.refutations;
     mergeBody(body, now);
+    heardFrom(sender, now);
     refreshViews(now);
     const MemberEntry *after = m_table.find(sender);
     if (after != nullptr && after->isAlive() && (wasDead || isContact(message))) {
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -48,7 +48,7 @@
     if (!update.info || m_entries.size() >= m_limit) {
         return Change::None;
     }
-    MemberEntry entry{update.incarnation, *update.info, update.status, false, true, now};
+    MemberEntry entry{update.incarnation, *update.info, update.status, false, false, true, now};
     entry.disseminated = update.status.state != MemberState::Dead;
     m_entries.emplace(update.incarnation, std::move(entry));
     ++m_version;
@@ -107,6 +107,17 @@
     return true;
 }
 
+bool MemberTable::setSilent(base::IncarnationId incarnation, bool silent)
+{
+    const auto found = m_entries.find(incarnation);
+    if (found == m_entries.end() || found->second.silent == silent) {
+        return false;
+    }
+    found->second.silent = silent;
+    ++m_version;
+    return true;
+}
+
 std::vector<base::IncarnationId> MemberTable::atAddress(std::string_view peerAddress) const
 {
     std::vector<base::IncarnationId> found;
