Start second attempts by the reported speed of the first machine

Cause: a second attempt started after 6 times the expected time. 3 of 100 requests take 7 times the mean on every upstream, so that theirs are wasted; and a request on a slow machine waited longer than needed.

Change: ingress::secondAttemptDelay decides. Where the upstream reports its speed, a second attempt starts after 3 times the expected time (at least half the objective) if the machine is slow and another is faster, and after 9 times if the machine has responded since and works as usual. A silent machine and upstreams that report no speed are treated as before. Where speeds are reported, the decision is repeated every 100 ms.

--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -19,6 +19,7 @@
 #include "trefoilstile/http/request_reader.hpp"
 #include "trefoilstile/ingress/placement.hpp"
 #include "trefoilstile/ingress/route_index.hpp"
+#include "trefoilstile/ingress/second_attempt.hpp"
 #include "trefoilstile/proxy/entry_core.hpp"
 #include "trefoilstile/proxy/response_body.hpp"
 
@@ -60,6 +61,8 @@
         ingress::PlacementReason reason = ingress::PlacementReason::None;
         double load{}; ///< estimated load of the upstream when it was chosen
         base::Duration loadAge{}; ///< -1 ns: the upstream has not reported a load
+        base::Duration wait{}; ///< expected wait for a slot, if the attempt is the first
+        base::Duration service{}; ///< expected time in a slot at the usual speed, if the attempt is the first
         base::TimePoint startedAt;
         base::TimePoint endedAt;
         std::optional<base::TimePoint> connectedAt; ///< set if the attempt has opened its connection
@@ -95,7 +98,10 @@
     /// Decides whether a further attempt is allowed; takes a retry from this instance's share if one is needed.
     bool mayRetry(base::TimePoint now);
 
-    /// Starts a second attempt beside the first if a retry is allowed and an upstream has a free slot.
+    /// What is known about the first attempt.
+    ingress::FirstAttempt firstAttempt(base::TimePoint now) const;
+
+    /// Starts a second attempt beside the first if it is due, a retry is allowed and an upstream has a free slot.
     void hedge();
     ingress::PlacementResult place(base::TimePoint now);
     void launch(const ingress::PlacementResult &placed, base::TimePoint now);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -32,10 +32,12 @@
 /// The response is sent this long before the caller's deadline, so that it reaches the caller in time.
 constexpr base::Duration s_responseMargin = std::chrono::milliseconds(20);
 
-/// A second attempt of an idempotent request is started beside the first when the first has taken this many times the expected
-/// time, and longer than the latency objective. The factor is above the four times that cold work takes. Nothing else detects
-/// upstreams that stop responding.
-constexpr int s_hedgeFactor = 6;
+/// Interval between two looks at whether a second attempt should start, where upstreams report their speed. Reports arrive every
+/// 300 ms.
+constexpr base::Duration s_hedgeCheck = std::chrono::milliseconds(100);
+
+/// Maximum speed factor of the upstream of a second attempt, as a fraction of that of a slow first one. The second starts anew.
+constexpr double s_fasterShare = 0.7;
 
 /// Maximum waiting time accepted from a caller; longer times are reduced to it.
 constexpr std::uint64_t s_maximumWaitMilliseconds = 3'600'000;
@@ -251,6 +253,18 @@
     return sends == 0 || m_core.takeRetry(m_service, now);
 }
 
+ingress::FirstAttempt Exchange::firstAttempt(base::TimePoint now) const
+{
+    const Attempt &attempt = *m_attempts.front();
+    const ingress::Upstream &upstream = *attempt.upstream;
+    return {m_route->route.latencyObjective,
+        attempt.service,
+        attempt.wait,
+        upstream.speed.known(),
+        upstream.loadUpdatedAt > attempt.startedAt,
+        m_core.upstreamTable.speedFactor(upstream, now)};
+}
+
 void Exchange::hedge()
 {
     m_hedgeAt = base::TimePoint::max();
@@ -258,10 +272,18 @@
     if (keyWithdrawn()) {
         return;
     }
+    const ingress::FirstAttempt first = firstAttempt(now);
+    if (const base::TimePoint due = m_attempts.front()->startedAt + ingress::secondAttemptDelay(first); due > now) {
+        m_hedgeAt = std::min(due, now + s_hedgeCheck); // the machine may become slow until then
+        return;
+    }
     const ingress::PlacementResult placed = place(now);
     // An upstream without a free slot would not respond sooner.
     const bool free = placed.outcome == ingress::PlacementOutcome::Chosen && placed.load + 1 <= placed.upstream->report.slots;
-    if (free && mayRetry(now)) {
+    const bool faster = !ingress::slowMachine(first) || (free && m_core.upstreamTable.speedFactor(*placed.upstream, now) < s_fasterShare * first.speedFactor);
+    if (!free || !faster) {
+        m_hedgeAt = first.speedReported ? now + s_hedgeCheck : m_hedgeAt;
+    } else if (mayRetry(now)) {
         launch(placed, now);
     }
 }
@@ -346,8 +368,10 @@
     attempt->startedAt = now;
     m_attempts.push_back(attempt);
     if (m_attempts.size() == 1 && m_route->route.idempotent) {
-        const auto expected = base::fromSeconds(placed.upstream->serviceSeconds) + placed.wait;
-        m_hedgeAt = now + std::max(m_route->route.latencyObjective, s_hedgeFactor * expected);
+        attempt->wait = placed.wait;
+        attempt->service = base::fromSeconds(placed.upstream->serviceSeconds);
+        const base::Duration delay = ingress::secondAttemptDelay(firstAttempt(now));
+        m_hedgeAt = now + (placed.upstream->speed.known() ? std::min(delay, s_hedgeCheck) : delay);
     }
     m_core.upstreamTable.requestSent(*attempt->upstream, now);
     spawnOnce(
