--- /dev/null
+++ b/src/proxy/slow_readers_test.cpp
@@ -0,0 +1,136 @@
+// Tests of callers that do not read their responses, and of large request bodies.
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "entry_fixture.hpp"
+
+namespace trefoilstile::proxy
+{
+
+using namespace testing;
+
+namespace
+{
+
+constexpr std::size_t s_largeBytes = 360'000;
+constexpr int s_slowReaders = 200;
+constexpr std::uint64_t s_maximumResident = 120'000'000; ///< required of an instance with 160 MB
+
+/// Resident memory of this process in bytes, with both ends of all connections.
+std::uint64_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    file >> total >> resident;
+    return resident * 4096;
+}
+
+/// Limits the memory of the entry to that of an instance with 160 MB.
+void limitMemory(EntryFixture &entry)
+{
+    entry.core.settings.memoryMegabytes = 160;
+    entry.core.responseBudget->limit = 40'000'000;
+    entry.listener = std::make_unique<CallerListener>(entry.core);
+}
+
+/// A caller that sends a request and reads nothing of the response.
+boost::asio::awaitable<void> sendAndReadNothing(tcp::socket &socket, std::string address, std::string id)
+{
+    socket.open(tcp::v4());
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
+    co_await socket.async_connect(http::parseEndpoint(address), boost::asio::use_awaitable);
+    const std::string bytes = request("/reads/large", id);
+    co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), boost::asio::use_awaitable);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SlowReaders)
+
+// Guards against callers that do not read their responses and thereby take the memory that the responses of others need.
+BOOST_AUTO_TEST_CASE(slowReadersLeaveOthersServed)
+{
+    const std::string large(s_largeBytes, 'x');
+    EntryFixture entry(
+        [&large](const std::string &received) {
+            return ScriptedReply{signedResponse(idOf(received), received.find("/reads/large") == std::string::npos ? "small" : large + "END")};
+        },
+        8);
+    limitMemory(entry);
+    std::vector<tcp::socket> sockets;
+    for (int i = 0; i < s_slowReaders; ++i) {
+        sockets.emplace_back(entry.context);
+    }
+    for (int i = 0; i < s_slowReaders; ++i) {
+        boost::asio::co_spawn(
+            entry.context, sendAndReadNothing(sockets[static_cast<std::size_t>(i)], entry.listener->address(), "s" + std::to_string(i)), boost::asio::detached);
+        entry.context.restart();
+        entry.context.run_for(5ms); // as many at once as a burst of one caller
+    }
+    entry.context.restart();
+    entry.context.run_for(500ms);
+    std::uint64_t peak = residentBytes();
+    int served = 0;
+    for (int i = 0; i < 20; ++i) {
+        const bool small = i % 2 == 0;
+        const std::string response = entry.send(request(small ? "/reads/small" : "/reads/large", "r" + std::to_string(i)), small ? "small" : "END");
+        served += startsWith(response, "HTTP/1.1 200") ? 1 : 0;
+        peak = std::max(peak, residentBytes());
+    }
+    BOOST_TEST(served == 20);
+    BOOST_TEST(entry.requestsAtUpstreams() == s_slowReaders + 20);
+    BOOST_TEST(peak < s_maximumResident);
+    BOOST_TEST_MESSAGE("peak of the resident memory of both ends: " << peak << " bytes");
+}
+
+// Guards against uploads that take the memory of the process, and against small requests that are not served while they are held.
+BOOST_AUTO_TEST_CASE(requestBodiesAreBoundedForTheProcess)
+{
+    EntryFixture entry(
+        [](const std::string &received) {
+            return ScriptedReply{signedResponse(idOf(received), "small"), false, received.starts_with("POST") ? 700ms : 0ms};
+        },
+        8);
+    limitMemory(entry);
+    std::string upload = request("/holds/1", "u", "POST");
+    upload.replace(upload.find("Content-Length: 0"), 17, "Content-Length: " + std::to_string(s_largeBytes));
+    upload.append(s_largeBytes, 'x');
+    std::map<std::string, int> statuses;
+    for (int i = 0; i < s_slowReaders; ++i) {
+        boost::asio::co_spawn(
+            entry.context,
+            [&]() -> boost::asio::awaitable<void> {
+                tcp::socket socket(entry.context);
+                boost::system::error_code ignored; // the connection of a refused upload is closed while its body is sent
+                co_await socket.async_connect(http::parseEndpoint(entry.listener->address()), boost::asio::use_awaitable);
+                co_await boost::asio::async_write(socket, boost::asio::buffer(upload), boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+                ++statuses[(co_await readUntil(socket, "\r\n\r\n")).substr(0, 12)];
+            },
+            boost::asio::detached);
+    }
+    std::uint64_t peak = 0;
+    entry.context.restart();
+    for (int i = 0; i < 20; ++i) {
+        entry.context.run_for(20ms);
+        peak = std::max(peak, residentBytes());
+    }
+    BOOST_TEST(startsWith(entry.send(request("/reads/1", "r"), "small"), "HTTP/1.1 200"));
+    entry.context.restart();
+    entry.context.run_for(2s);
+    // 32 MB hold 88 bodies.
+    BOOST_TEST(statuses["HTTP/1.1 200"] > 50);
+    BOOST_TEST(statuses["HTTP/1.1 200"] <= 88);
+    BOOST_TEST(statuses["HTTP/1.1 503"] == s_slowReaders - statuses["HTTP/1.1 200"]);
+    BOOST_TEST(peak < s_maximumResident);
+    BOOST_TEST_MESSAGE("peak of the resident memory of both ends: " << peak << " bytes");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace trefoilstile::proxy
