--- a/include/trefoilstile/daemon/peer_network.hpp
+++ b/include/trefoilstile/daemon/peer_network.hpp
@@ -40,6 +40,7 @@
     std::function<void(std::uint64_t fetch, steering::FetchResult, base::Generation, std::string body)> drainsFetched;
     std::function<void(std::uint64_t ticket, idempotency::SealedPart part)> keysOffered;
     std::function<void(const peer::LoadReport &)> loadsReported; ///< may be empty
+    std::function<void(const quota::UsageMessage &)> usageReceived; ///< may be empty
     std::function<void(peer::FeedRequest, std::function<void(peer::FeedResponse)> reply)> feedRequested; ///< may be empty; `reply` is called once, at any time
 };
 
@@ -57,6 +58,7 @@
 
     void send(const membership::Outgoing &outgoing);
     void send(const std::string &peerAddress, const peer::LoadReport &report);
+    void send(const std::string &peerAddress, const quota::UsageMessage &message);
 
     void fetchDocument(std::uint64_t fetch, const std::string &address, const steering::DocumentVersion &version);
     void fetchDrains(std::uint64_t fetch, const std::string &address, base::Generation generation);
--- a/include/trefoilstile/peer/payload.hpp
+++ b/include/trefoilstile/peer/payload.hpp
@@ -12,6 +12,7 @@
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/membership/messages.hpp"
+#include "trefoilstile/quota/usage.hpp"
 #include "trefoilstile/steering/version.hpp"
 
 namespace trefoilstile::peer
@@ -235,7 +236,8 @@
     CapacityAdvertisement,
     LoadReport,
     FeedRequest,
-    FeedResponse>;
+    FeedResponse,
+    quota::UsageMessage>;
 
 /// Transport of a payload.
 enum class Channel : std::uint8_t {
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -23,6 +25,7 @@
 #include "trefoilstile/proxy/header_names.hpp"
 #include "trefoilstile/proxy/settings.hpp"
 #include "trefoilstile/proxy/upstream_connections.hpp"
+#include "trefoilstile/quota/quota_gate.hpp"
 
 namespace trefoilstile::proxy
 {
@@ -61,6 +64,8 @@
     ingress::Configuration configuration;
     std::unique_ptr<ingress::RouteIndex> routes; ///< null until a configuration is in effect
     std::unique_ptr<ingress::AccountIndex> accounts; ///< null until a configuration is in effect
+    quota::QuotaGate quota;
+    std::function<void()> reportQuota; ///< sends a report of the use of quotas at once; may be empty
     ingress::UpstreamTable upstreamTable;
     ingress::Placement placement;
     ingress::MemberCount members; ///< instances in all failure domains
@@ -82,4 +87,10 @@
     std::map<std::string, ingress::RetryShare, std::less<>> m_retryShares; ///< by service
 };
 
+/// Options of the quotas that the settings ask for.
+quota::QuotaOptions quotaOptions(const Settings &settings);
+
+/// Quotas of the accounts of a configuration.
+std::vector<quota::AccountQuota> accountQuotas(const ingress::Configuration &configuration);
+
 } // namespace trefoilstile::proxy
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -32,6 +32,7 @@
 #include "trefoilstile/proxy/followed_table.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
 #include "trefoilstile/proxy/platform_adapter.hpp"
+#include "trefoilstile/proxy/quota_link.hpp"
 #include "trefoilstile/proxy/table_rows.hpp"
 
 namespace trefoilstile::proxy
@@ -49,6 +50,7 @@
         , m_operator(m_core, m_store, OperatorRows<Platform>(m_core), Platform::operatorTable(), feedCall(), TableWatchOptions())
         , m_upstreams(m_core, m_store, UpstreamRows<Platform>(m_core), Platform::upstreamTable(), feedCall(), watchOptions(m_core.settings.leavingBound))
         , m_incarnation{m_core.random.next()}
+        , m_quotaLink(m_core, m_incarnation)
         , m_timer(context)
         , m_joinTimer(context)
         , m_signals(context, SIGTERM, SIGHUP)
@@ -184,6 +186,7 @@
         forEachTable([](auto &table) {
             table.setGauges();
         });
+        m_quotaLink.setGauges(http::now());
         m_core.metrics.set("trefoilstile_feed_requests_waiting", {}, static_cast<double>(m_feedServer.waiting()));
         m_core.metrics.set("trefoilstile_response_bytes_held", {}, static_cast<double>(m_core.responseBudget->held));
         m_core.metrics.set("trefoilstile_log_lines_dropped", {}, static_cast<double>(m_core.log.dropped()));
@@ -237,6 +240,12 @@
         m_members->reportReceived = [this](const FleetReport &report) {
             applyReport(report);
         };
+        m_core.reportQuota = [this] {
+            m_quotaLink.reportIfUrgent(*m_members, http::now());
+        };
+        m_members->usageReceived = [this](const quota::UsageMessage &message) {
+            m_quotaLink.receive(*m_members, message, http::now());
+        };
         m_members->feedRequested = [this](peer::FeedRequest request, FeedServer::Reply reply) {
             m_feedServer.handle(std::move(request), std::move(reply), http::now());
         };
@@ -369,6 +378,7 @@
             }
             searchMembersWhileAlone(now);
             sendReports(now);
+            m_quotaLink.tick(*m_members, now);
             forEachTable([now](auto &table) {
                 table.checkLag(now);
                 table.logSource(now);
@@ -485,6 +495,7 @@
     FollowedTable<typename Platform::Store, UpstreamRows<Platform>> m_upstreams;
     FeedServer m_feedServer;
     base::IncarnationId m_incarnation;
+    QuotaLink m_quotaLink;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_joinTimer;
     boost::asio::signal_set m_signals;
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -61,6 +61,7 @@
         double load{}; ///< estimated load of the upstream when it was chosen
         base::Duration loadAge{}; ///< -1 ns: the upstream has not reported a load
         base::TimePoint startedAt;
+        std::optional<base::TimePoint> quotaTakenAt; ///< set if the attempt counts against the quota of an account
         base::TimePoint endedAt;
         bool aborted = false;
         bool ended = false;
@@ -74,6 +75,15 @@
     /// Determines the caller's account; returns a response if the request needs an account and has no valid key.
     std::optional<CallerResponse> identify();
 
+    /// Takes the quota for the first attempt; returns a response if the account has none left.
+    std::optional<CallerResponse> takeQuota();
+
+    /// True if the quota for another attempt is held or could be taken.
+    bool holdsQuota(base::TimePoint now);
+
+    /// Returns quota that was taken for attempts that have not run and will not run.
+    void returnQuota();
+
     /// True if the request belongs to an account whose key the configuration in effect does not hold any more.
     bool keyWithdrawn() const;
 
@@ -122,6 +132,8 @@
     std::shared_ptr<ingress::IndexedRoute> m_route;
     ingress::KeyDigest m_keyDigest{}; ///< of the API key, if `m_account` is set
     std::shared_ptr<const ingress::Account> m_account; ///< null on routes that need no account
+    quota::AccountId m_quotaAccount; ///< of `m_account`
+    std::vector<base::TimePoint> m_unusedQuota; ///< when the quota was taken that no attempt uses, at most one entry per attempt
     std::vector<std::shared_ptr<Attempt>> m_attempts;
     std::optional<CallerResponse> m_failureResponse; ///< 5xx response of an upstream; sent if no retry succeeds
     std::uint32_t m_sentAttempts{}; ///< ended attempts that reached an upstream
--- a/include/trefoilstile/proxy/member_link.hpp
+++ b/include/trefoilstile/proxy/member_link.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,18 @@
     /// Sends a report to one instance of each other failure domain.
     void sendReportToOtherDomains(const FleetReport &report, base::TimePoint now);
 
+    /// Sends a message about the use of quotas.
+    void sendUsage(const std::string &peerAddress, const quota::UsageMessage &message)
+    {
+        m_network.send(peerAddress, message);
+    }
+
+    /// Members that may be contacted in each other failure domain. In a large system these are only its relays, without names.
+    std::map<std::string, std::vector<feed::ReaderCandidate>> otherDomains(base::TimePoint now) const;
+
+    /// Called for each message about the use of quotas. May be empty.
+    std::function<void(const quota::UsageMessage &)> usageReceived;
+
     /// Called for each report that another member sends. May be empty.
     std::function<void(const FleetReport &)> reportReceived;
 
--- a/include/trefoilstile/proxy/settings.hpp
+++ b/include/trefoilstile/proxy/settings.hpp
@@ -34,6 +34,9 @@
     double retrySlack = 0; ///< retries per window beyond the ratio, over all instances
     base::Duration leavingBound = std::chrono::seconds(2); ///< time after which an upstream that was reported as draining or removed gets no requests
     double shiftLimit = 0.15; ///< fraction of a region's requests that may move to another region within 2 s
+    base::Duration quotaWindow{}; ///< sliding window of the quotas of accounts; 0: quotas are not enforced
+    double quotaOvershoot = 0; ///< fraction by which all instances together may exceed a quota
+    double quotaSlack = 0; ///< requests per window by which all instances together may exceed a quota in addition
     bool firstStart = false; ///< the whole system starts for the first time, so that no caller waits for it
     std::string settingsFile; ///< path of the file that was read; empty: none
 };
--- a/src/daemon/peer_network.cpp
+++ b/src/daemon/peer_network.cpp
@@ -91,6 +91,11 @@
     sendDatagram(peerAddress, report);
 }
 
+void PeerNetwork::send(const std::string &peerAddress, const quota::UsageMessage &message)
+{
+    sendDatagram(peerAddress, message);
+}
+
 void PeerNetwork::sendDatagram(const std::string &peerAddress, const peer::Payload &payload)
 {
     try {
@@ -131,6 +136,10 @@
                 if (m_handlers.loadsReported) {
                     m_handlers.loadsReported(payload);
                 }
+            } else if constexpr (std::is_same_v<std::decay_t<decltype(payload)>, quota::UsageMessage>) {
+                if (m_handlers.usageReceived) {
+                    m_handlers.usageReceived(payload);
+                }
             }
         },
         received->payload);
--- a/src/peer/gen/trefoilstile_types.cpp
+++ b/src/peer/gen/trefoilstile_types.cpp
@@ -4979,4 +4979,448 @@
   out << ")";
 }
 
+
+AccountUsage::~AccountUsage() noexcept {
+}
+
+
+void AccountUsage::__set_account(const int64_t val) {
+  this->account = val;
+}
+
+void AccountUsage::__set_demand(const int64_t val) {
+  this->demand = val;
+}
+
+void AccountUsage::__set_slots(const std::vector<int32_t> & val) {
+  this->slots = val;
+}
+
+void AccountUsage::__set_reserved(const int64_t val) {
+  this->reserved = val;
+}
+
+void AccountUsage::__set_shareMillionths(const int32_t val) {
+  this->shareMillionths = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountUsage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountUsage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->demand);
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slots.clear();
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->slots.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
+            {
+              xfer += iprot->readI32(this->slots[_i116]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reserved);
+          this->__isset.reserved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shareMillionths);
+          this->__isset.shareMillionths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountUsage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountUsage");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->demand);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slots.size()));
+    std::vector<int32_t> ::const_iterator _iter117;
+    for (_iter117 = this->slots.begin(); _iter117 != this->slots.end(); ++_iter117)
+    {
+      xfer += oprot->writeI32((*_iter117));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserved", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->reserved);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shareMillionths", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->shareMillionths);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountUsage &a, AccountUsage &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.demand, b.demand);
+  swap(a.slots, b.slots);
+  swap(a.reserved, b.reserved);
+  swap(a.shareMillionths, b.shareMillionths);
+  swap(a.__isset, b.__isset);
+}
+
+AccountUsage::AccountUsage(const AccountUsage& other118) {
+  account = other118.account;
+  demand = other118.demand;
+  slots = other118.slots;
+  reserved = other118.reserved;
+  shareMillionths = other118.shareMillionths;
+  __isset = other118.__isset;
+}
+AccountUsage& AccountUsage::operator=(const AccountUsage& other119) {
+  account = other119.account;
+  demand = other119.demand;
+  slots = other119.slots;
+  reserved = other119.reserved;
+  shareMillionths = other119.shareMillionths;
+  __isset = other119.__isset;
+  return *this;
+}
+void AccountUsage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountUsage(";
+  out << "account=" << to_string(account);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "reserved=" << to_string(reserved);
+  out << ", " << "shareMillionths=" << to_string(shareMillionths);
+  out << ")";
+}
+
+
+UsageMessage::~UsageMessage() noexcept {
+}
+
+
+void UsageMessage::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void UsageMessage::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void UsageMessage::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void UsageMessage::__set_peerAddress(const std::string& val) {
+  this->peerAddress = val;
+}
+
+void UsageMessage::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void UsageMessage::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void UsageMessage::__set_replyWanted(const bool val) {
+  this->replyWanted = val;
+}
+
+void UsageMessage::__set_usages(const std::vector<AccountUsage> & val) {
+  this->usages = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peerAddress);
+          this->__isset.peerAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->replyWanted);
+          this->__isset.replyWanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usages.clear();
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->usages.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
+            {
+              xfer += this->usages[_i124].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usages = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageMessage");
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peerAddress", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->peerAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replyWanted", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->replyWanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("usages", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usages.size()));
+    std::vector<AccountUsage> ::const_iterator _iter125;
+    for (_iter125 = this->usages.begin(); _iter125 != this->usages.end(); ++_iter125)
+    {
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageMessage &a, UsageMessage &b) {
+  using ::std::swap;
+  swap(a.kind, b.kind);
+  swap(a.sender, b.sender);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.peerAddress, b.peerAddress);
+  swap(a.incarnation, b.incarnation);
+  swap(a.number, b.number);
+  swap(a.replyWanted, b.replyWanted);
+  swap(a.usages, b.usages);
+  swap(a.__isset, b.__isset);
+}
+
+UsageMessage::UsageMessage(const UsageMessage& other126) {
+  kind = other126.kind;
+  sender = other126.sender;
+  failureDomain = other126.failureDomain;
+  peerAddress = other126.peerAddress;
+  incarnation = other126.incarnation;
+  number = other126.number;
+  replyWanted = other126.replyWanted;
+  usages = other126.usages;
+  __isset = other126.__isset;
+}
+UsageMessage& UsageMessage::operator=(const UsageMessage& other127) {
+  kind = other127.kind;
+  sender = other127.sender;
+  failureDomain = other127.failureDomain;
+  peerAddress = other127.peerAddress;
+  incarnation = other127.incarnation;
+  number = other127.number;
+  replyWanted = other127.replyWanted;
+  usages = other127.usages;
+  __isset = other127.__isset;
+  return *this;
+}
+void UsageMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageMessage(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "peerAddress=" << to_string(peerAddress);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "replyWanted=" << to_string(replyWanted);
+  out << ", " << "usages=" << to_string(usages);
+  out << ")";
+}
+
 }}} // namespace
--- a/src/peer/gen/trefoilstile_types.h
+++ b/src/peer/gen/trefoilstile_types.h
@@ -85,6 +85,10 @@
 
 class FeedRows;
 
+class AccountUsage;
+
+class UsageMessage;
+
 typedef struct _Envelope__isset {
   _Envelope__isset() : version(false), environment(false), sender(false), incarnation(false), sequence(false), kind(false), payload(false), mac(false) {}
   bool version :1;
@@ -2094,6 +2098,167 @@
 
 std::ostream& operator<<(std::ostream& out, const FeedRows& obj);
 
+typedef struct _AccountUsage__isset {
+  _AccountUsage__isset() : account(false), demand(false), slots(false), reserved(false), shareMillionths(false) {}
+  bool account :1;
+  bool demand :1;
+  bool slots :1;
+  bool reserved :1;
+  bool shareMillionths :1;
+} _AccountUsage__isset;
+
+class AccountUsage : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountUsage(const AccountUsage&);
+  AccountUsage& operator=(const AccountUsage&);
+  AccountUsage() noexcept
+               : account(0),
+                 demand(0),
+                 reserved(0),
+                 shareMillionths(0) {
+  }
+
+  virtual ~AccountUsage() noexcept;
+  int64_t account;
+  int64_t demand;
+  std::vector<int32_t>  slots;
+  int64_t reserved;
+  int32_t shareMillionths;
+
+  _AccountUsage__isset __isset;
+
+  void __set_account(const int64_t val);
+
+  void __set_demand(const int64_t val);
+
+  void __set_slots(const std::vector<int32_t> & val);
+
+  void __set_reserved(const int64_t val);
+
+  void __set_shareMillionths(const int32_t val);
+
+  bool operator == (const AccountUsage & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(reserved == rhs.reserved))
+      return false;
+    if (!(shareMillionths == rhs.shareMillionths))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountUsage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountUsage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountUsage &a, AccountUsage &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountUsage& obj);
+
+typedef struct _UsageMessage__isset {
+  _UsageMessage__isset() : kind(false), sender(false), failureDomain(false), peerAddress(false), incarnation(false), number(false), replyWanted(false), usages(false) {}
+  bool kind :1;
+  bool sender :1;
+  bool failureDomain :1;
+  bool peerAddress :1;
+  bool incarnation :1;
+  bool number :1;
+  bool replyWanted :1;
+  bool usages :1;
+} _UsageMessage__isset;
+
+class UsageMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageMessage(const UsageMessage&);
+  UsageMessage& operator=(const UsageMessage&);
+  UsageMessage() noexcept
+               : kind(0),
+                 sender(),
+                 failureDomain(),
+                 peerAddress(),
+                 incarnation(0),
+                 number(0),
+                 replyWanted(0) {
+  }
+
+  virtual ~UsageMessage() noexcept;
+  int32_t kind;
+  std::string sender;
+  std::string failureDomain;
+  std::string peerAddress;
+  int64_t incarnation;
+  int64_t number;
+  bool replyWanted;
+  std::vector<AccountUsage>  usages;
+
+  _UsageMessage__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_sender(const std::string& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_peerAddress(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_replyWanted(const bool val);
+
+  void __set_usages(const std::vector<AccountUsage> & val);
+
+  bool operator == (const UsageMessage & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(peerAddress == rhs.peerAddress))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(replyWanted == rhs.replyWanted))
+      return false;
+    if (!(usages == rhs.usages))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageMessage &a, UsageMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageMessage& obj);
+
 }}} // namespace
 
 #endif
--- a/src/peer/generators.hpp
+++ b/src/peer/generators.hpp
@@ -108,7 +108,15 @@
             {{text(), nonNegativeNumber()}},
             text()},
         FeedRequest{text(), nonNegativeNumber(), true, duration(), false},
-        FeedResponse{FeedStatus::Changes, text(), nonNegativeNumber(), true, true, {text(), 5}}};
+        FeedResponse{FeedStatus::Changes, text(), nonNegativeNumber(), true, true, {text(), 5}},
+        quota::UsageMessage{quota::UsageKind::Reply,
+            text(),
+            text(),
+            text(),
+            {anyNumber()},
+            nonNegativeNumber(),
+            true,
+            {{{anyNumber()}, nonNegativeNumber(), {smallNumber(), 0, smallNumber()}, nonNegativeNumber(), smallNumber() % 1'000'001}}}};
 }
 
 } // namespace trefoilstile::peer::testing
--- a/src/peer/payload.cpp
+++ b/src/peer/payload.cpp
@@ -36,6 +36,7 @@
     {"load_report", Channel::Datagram},
     {"feed_request", Channel::Frame},
     {"feed_response", Channel::Frame},
+    {"usage", Channel::Datagram},
 }};
 
 } // namespace
--- a/src/peer/translate.hpp
+++ b/src/peer/translate.hpp
@@ -101,6 +101,7 @@
 wire::LoadReport toWire(const LoadReport &value);
 wire::FeedRequest toWire(const FeedRequest &value);
 wire::FeedResponse toWire(const FeedResponse &value);
+wire::UsageMessage toWire(const quota::UsageMessage &value);
 
 membership::Probe fromWire(const wire::Probe &value);
 membership::Ack fromWire(const wire::Ack &value);
@@ -121,5 +122,6 @@
 LoadReport fromWire(const wire::LoadReport &value);
 FeedRequest fromWire(const wire::FeedRequest &value);
 FeedResponse fromWire(const wire::FeedResponse &value);
+quota::UsageMessage fromWire(const wire::UsageMessage &value);
 
 } // namespace trefoilstile::peer
--- a/src/peer/trefoilstile.thrift
+++ b/src/peer/trefoilstile.thrift
@@ -223,3 +223,22 @@
 struct FeedRows {
   1: list<FeedRow> rows
 }
+
+struct AccountUsage {
+  1: i64 account
+  2: i64 demand
+  3: list<i32> slots
+  4: i64 reserved
+  5: i32 shareMillionths
+}
+
+struct UsageMessage {
+  1: i32 kind
+  2: string sender
+  3: string failureDomain
+  4: string peerAddress
+  5: i64 incarnation
+  6: i64 number
+  7: bool replyWanted
+  8: list<AccountUsage> usages
+}
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -24,11 +24,30 @@
 
 } // namespace
 
+quota::QuotaOptions quotaOptions(const Settings &settings)
+{
+    quota::QuotaOptions options;
+    options.window = settings.quotaWindow;
+    options.overshoot = settings.quotaOvershoot;
+    options.slack = settings.quotaSlack;
+    return options;
+}
+
+std::vector<quota::AccountQuota> accountQuotas(const ingress::Configuration &configuration)
+{
+    std::vector<quota::AccountQuota> quotas;
+    for (const ingress::Account &account : configuration.accounts) {
+        quotas.push_back({account.name, account.requestsPerSecond, account.burst});
+    }
+    return quotas;
+}
+
 EntryCore::EntryCore(boost::asio::io_context &ioContext, Settings processSettings, HeaderNames headerNames, std::uint64_t seed)
     : context(ioContext)
     , settings(std::move(processSettings))
     , names(std::move(headerNames))
     , random(seed)
+    , quota(quotaOptions(settings), random.next())
     , upstreamTable(ingress::upstreamTableOptions(settings.leavingBound))
     , placement(upstreamTable, settings.region, settings.failureDomain, base::stableHash(settings.name), ingress::placementOptions(settings.shiftLimit))
 {
@@ -52,6 +71,7 @@
     configuration = std::move(newer);
     routes = std::make_unique<ingress::RouteIndex>(configuration);
     accounts = std::make_unique<ingress::AccountIndex>(configuration);
+    quota.setAccounts(accountQuotas(configuration));
     upstreamTable.setServices(configuration);
     splitRegions(now);
     return true;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -60,6 +60,9 @@
     case 413:
         response.reason = "Payload Too Large";
         break;
+    case 429:
+        response.reason = "Too Many Requests";
+        break;
     case 431:
         response.reason = "Request Header Fields Too Large";
         break;
@@ -130,9 +133,48 @@
     m_key = objectKey == nullptr ? m_core.random.next() : base::stableHash(*objectKey, base::stableHash(m_route->route.prefix));
     m_service = m_route->route.shares[m_route->rotation.next()].service;
     m_core.retryShare(m_service).requestArrived(m_arrivedAt);
+    return takeQuota();
+}
+
+std::optional<CallerResponse> Exchange::takeQuota()
+{
+    if (!m_account || !m_core.quota.active()) {
+        return std::nullopt;
+    }
+    m_quotaAccount = quota::accountId(m_account->name);
+    const base::TimePoint now = http::now();
+    const quota::Decision decision = m_core.quota.admit(m_quotaAccount, now);
+    if (m_core.quota.urgent() && m_core.reportQuota) {
+        m_core.reportQuota();
+    }
+    if (!decision.admitted) {
+        m_outcome = "over_quota";
+        return localResponse(429, decision.retryAfter);
+    }
+    m_unusedQuota.push_back(now);
     return std::nullopt;
 }
 
+bool Exchange::holdsQuota(base::TimePoint now)
+{
+    if (!m_account || !m_core.quota.active() || !m_unusedQuota.empty()) {
+        return true;
+    }
+    if (!m_core.quota.admitFurther(m_quotaAccount, now)) {
+        return false;
+    }
+    m_unusedQuota.push_back(now);
+    return true;
+}
+
+void Exchange::returnQuota()
+{
+    for (const base::TimePoint takenAt : m_unusedQuota) {
+        m_core.quota.returned(m_quotaAccount, takenAt, http::now());
+    }
+    m_unusedQuota.clear();
+}
+
 std::optional<CallerResponse> Exchange::identify()
 {
     if (!m_core.accounts->requiresAccount(m_route->route)) {
@@ -164,6 +206,7 @@
     ++m_core.requests;
     const std::shared_ptr<void> counted(nullptr, [this](void *) { // also on an exception
         --m_core.requests;
+        returnQuota();
     });
     m_core.requestRate.requestArrived();
     std::optional<CallerResponse> response = prepare();
@@ -224,6 +267,9 @@
         attempt->processed = true;
         AttemptEnd &end = attempt->end;
         m_sentAttempts += end.reached ? 1 : 0;
+        if (end.provedNotRun && attempt->quotaTakenAt) {
+            m_unusedQuota.push_back(*attempt->quotaTakenAt);
+        }
         if (!end.response) {
             m_mayHaveRun = m_mayHaveRun || !end.provedNotRun;
             continue;
@@ -248,7 +294,7 @@
         return false;
     }
     // If no attempt has reached an upstream yet, this one does not count as a retry.
-    return sends == 0 || m_core.takeRetry(m_service, now);
+    return holdsQuota(now) && (sends == 0 || m_core.takeRetry(m_service, now));
 }
 
 void Exchange::hedge()
@@ -341,6 +387,10 @@
     attempt->load = placed.load;
     attempt->loadAge = placed.upstream->loadUpdatedAt == base::TimePoint() ? base::Duration(-1) : now - placed.upstream->loadUpdatedAt;
     attempt->startedAt = now;
+    if (!m_unusedQuota.empty()) {
+        attempt->quotaTakenAt = m_unusedQuota.back();
+        m_unusedQuota.pop_back();
+    }
     m_attempts.push_back(attempt);
     if (m_attempts.size() == 1 && m_route->route.idempotent) {
         const auto expected = base::fromSeconds(placed.upstream->serviceSeconds) + placed.wait;
--- a/src/proxy/member_link.cpp
+++ b/src/proxy/member_link.cpp
@@ -3,7 +3,6 @@
 #include "trefoilstile/proxy/member_link.hpp"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -91,6 +90,11 @@
             reportReceived(fromPeer(report));
         }
     };
+    handlers.usageReceived = [this](const quota::UsageMessage &message) {
+        if (usageReceived) {
+            usageReceived(message);
+        }
+    };
     handlers.feedRequested = [this](peer::FeedRequest request, FeedServer::Reply reply) {
         if (feedRequested) {
             feedRequested(std::move(request), std::move(reply));
@@ -149,25 +153,30 @@
     }
 }
 
-void MemberLink::sendReportToOtherDomains(const FleetReport &report, base::TimePoint now)
+std::map<std::string, std::vector<feed::ReaderCandidate>> MemberLink::otherDomains(base::TimePoint now) const
 {
-    std::map<std::string, std::vector<std::string>> contacts; // addresses by failure domain
+    std::map<std::string, std::vector<feed::ReaderCandidate>> contacts;
     for (const auto &[incarnation, member] : m_detector.table().entries()) {
         if (member.isAlive() && member.info.failureDomain != m_domain) {
-            contacts[member.info.failureDomain].push_back(member.info.peerAddress);
+            contacts[member.info.failureDomain].push_back({member.info.name, member.info.peerAddress});
         }
     }
     // In a large system the members of other failure domains are not known individually, but the summaries name their relays.
     for (const membership::DomainSummary &summary : m_detector.summaries(now)) {
         for (const membership::RelayAddress &relay : summary.relays) {
-            contacts[summary.failureDomain].push_back(relay.peerAddress);
+            contacts[summary.failureDomain].push_back({std::string(), relay.peerAddress});
         }
     }
+    return contacts;
+}
+
+void MemberLink::sendReportToOtherDomains(const FleetReport &report, base::TimePoint now)
+{
     peer::LoadReport message = toPeer(report);
     message.peerAddress = m_address;
-    for (auto &[domain, addresses] : contacts) {
-        for (const std::string &address : membership::sample(std::move(addresses), 1, m_random)) {
-            m_network.send(address, message);
+    for (auto &[domain, contacts] : otherDomains(now)) {
+        for (const feed::ReaderCandidate &contact : membership::sample(std::move(contacts), 1, m_random)) {
+            m_network.send(contact.address, message);
         }
     }
 }
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -95,6 +95,7 @@
     std::string lookupLifetime = "2s";
     std::string retryWindow = "10s";
     std::string leavingBound = "2s";
+    std::string quotaWindow = "0s";
     double processorShare = 1;
     double processorSpeed = 1;
     CLI::App app("Entry process of the trefoilstile traffic steering system on a shared platform", "trefoilstile-entry");
@@ -125,6 +126,10 @@
     add(app, "--leaving-bound", leavingBound, "LEAVING_BOUND", "Time after which a leaving upstream gets no more requests", checkDuration);
     app.add_option("--shift-limit", settings.shiftLimit, "Fraction of a region's requests that may move to another region within 2 s")
         ->check(CLI::Range(0.001, 1.0));
+    add(app, "--quota-window", quotaWindow, "QUOTA_WINDOW", "Sliding window of the quotas of accounts; 0s: quotas are not enforced", checkDuration);
+    app.add_option("--quota-overshoot", settings.quotaOvershoot, "Fraction by which all instances together may exceed a quota")->check(CLI::Range(0.0, 1.0));
+    app.add_option("--quota-slack", settings.quotaSlack, "Requests per window by which all instances together may exceed a quota in addition")
+        ->check(CLI::Range(0.0, 1e6));
     app.add_option("--first-start", settings.firstStart, "Whether the whole system starts for the first time: true or false");
     std::vector<std::string> reversed(arguments.rbegin(), arguments.rend()); // CLI11 expects the arguments in reverse order
     try {
@@ -145,10 +150,14 @@
     settings.lookupLifetime = parseDuration(lookupLifetime);
     settings.retryWindow = parseDuration(retryWindow);
     settings.leavingBound = parseDuration(leavingBound);
+    settings.quotaWindow = parseDuration(quotaWindow);
     settings.resources.processors = processorShare * processorSpeed;
     if (settings.retryWindow < std::chrono::milliseconds(100)) {
         throw SettingsError(fmt::format("--retry-window: '{}' is not allowed: expected at least 100ms", retryWindow));
     }
+    if (settings.quotaWindow != base::Duration::zero() && settings.quotaWindow < std::chrono::seconds(1)) {
+        throw SettingsError(fmt::format("--quota-window: '{}' is not allowed: expected 0s or at least 1s", quotaWindow));
+    }
     return settings;
 }
 
--- /dev/null
+++ b/src/quota/usage_aggregator.cpp
@@ -0,0 +1,335 @@
+// Sums of use, reservations for silent members and failure domains, and shares.
+
+#include "trefoilstile/quota/usage_aggregator.hpp"
+
+#include <cmath>
+
+namespace trefoilstile::quota
+{
+
+namespace
+{
+
+/// The sums are computed at most this often, however many members report.
+constexpr base::Duration s_refreshPeriod = std::chrono::milliseconds(50);
+
+/// The shares of senders are computed at least this often.
+constexpr base::Duration s_shareAge = std::chrono::milliseconds(300);
+
+/// Demand that is added in equal parts for all instances when shares are computed, as a fraction of the target. Without it, the only
+/// instance that saw a request of a quiet account would have the whole quota as its share, and all others would reserve it. It falls to
+/// zero as the demand rises to `s_evenEnd`, so that instances with most of the callers get their whole part of the quota.
+constexpr double s_evenDemand = 0.3;
+constexpr double s_evenEnd = 0.6;
+
+double evenDemand(double demand, double target)
+{
+    return s_evenDemand * target * std::max(0.0, 1 - demand / (s_evenEnd * target));
+}
+
+/// A use below this fraction of the target is passed on less often.
+constexpr double s_watchedUse = 0.3;
+constexpr base::Duration s_slowAnnouncement = std::chrono::milliseconds(1'500);
+
+/// True if a change of use is beyond what random arrivals cause.
+bool isMuch(double change, double target)
+{
+    constexpr double part = 0.03;
+    return std::abs(change) > std::max(part * target, 2 * std::sqrt(target));
+}
+
+} // namespace
+
+UsageAggregator::UsageAggregator(QuotaOptions options, std::string failureDomain)
+    : m_options(options)
+    , m_domain(std::move(failureDomain))
+    , m_slotTime(options.window / s_slots)
+{
+}
+
+void UsageAggregator::setAccounts(std::span<const AccountQuota> accounts)
+{
+    m_limits.clear();
+    for (const AccountQuota &quota : accounts) {
+        if (quota.requestsPerSecond > 0 && m_options.window > base::Duration::zero()) {
+            const WindowLimits limits(quota, m_options);
+            const auto [entry, added] = m_limits.emplace(accountId(quota.name), limits);
+            if (!added && limits.granted < entry->second.granted) {
+                entry->second = limits;
+            }
+        }
+    }
+    m_refreshedAt = base::TimePoint();
+}
+
+void UsageAggregator::applyTo(Source &source, const UsageMessage &message, base::TimePoint now)
+{
+    source.number = std::max(source.number, message.number);
+    source.peerAddress = message.peerAddress;
+    source.heardAt = now;
+    for (const AccountUsage &usage : message.usages) {
+        Record &record = source.records[usage.account];
+        if (message.number < record.number) {
+            continue;
+        }
+        record.slots = SlotCounts(usage.slots, now); // `summed` stays until the next sums
+        record.demand = static_cast<double>(usage.demand);
+        record.reserved = static_cast<double>(usage.reserved);
+        record.number = message.number;
+        record.receivedAt = now;
+    }
+}
+
+void UsageAggregator::apply(const UsageMessage &message, base::TimePoint now)
+{
+    m_firstMessageAt = m_firstMessageAt.value_or(now);
+    if (m_refreshedAt && now - *m_refreshedAt > s_shareAge) {
+        refresh(now); // also where no replies are sent, so that the shares are known when senders fall silent
+    }
+    const bool member = message.kind == UsageKind::Member;
+    if (message.kind == UsageKind::Reply || member != (message.failureDomain == m_domain)) {
+        return;
+    }
+    Source &source = member ? m_sources[message.sender] : m_domains[message.failureDomain];
+    if (source.incarnation == message.incarnation) {
+        // Parts of one message have the same number. A message that arrives late by more than one period has nothing new.
+        if (message.number + 1 >= source.number) {
+            applyTo(source, message, now);
+        }
+        return;
+    }
+    if (member) {
+        // The attempts of the former incarnation have run and stay in the window; its share passes to the new one.
+        for (const auto &[id, record] : source.records) {
+            m_former[id].add(record.slots, m_slotTime, now);
+        }
+        source.records.clear();
+    } else if (source.sender == message.sender) {
+        source.records.clear();
+    } else {
+        // Another aggregator of the same failure domain: its numbers are unrelated to those of the former one.
+        for (auto &[id, record] : source.records) {
+            record.number = 0;
+        }
+    }
+    source.incarnation = message.incarnation;
+    source.sender = message.sender;
+    source.number = 0;
+    applyTo(source, message, now);
+}
+
+double UsageAggregator::currentDemand(const Source &source, const Record &record, base::TimePoint now) const
+{
+    if (now - source.heardAt > m_options.newsLifetime) {
+        return record.demand; // callers may still reach the silent sender
+    }
+    // An account is reported again when it has new requests. Decreasing its demand before would give the others too much.
+    const base::Duration age = std::max(base::Duration::zero(), now - record.receivedAt - s_slowAnnouncement);
+    return record.demand * std::max(0.0, 1 - base::toSeconds(age) / base::toSeconds(m_options.window));
+}
+
+void UsageAggregator::addSource(Source &source, bool member, base::TimePoint now)
+{
+    const bool silent = now - source.heardAt > m_options.newsLifetime;
+    for (auto &[id, record] : source.records) {
+        const auto limits = m_limits.find(id);
+        if (limits == m_limits.end()) {
+            continue;
+        }
+        Sum &sum = m_sums[id];
+        record.summed = record.slots;
+        const double used = record.slots.total(m_slotTime, now);
+        const double reserved = record.reserved + (silent ? std::max(0.0, record.share * limits->second.target - used) : 0);
+        (member ? sum.slots : sum.otherSlots).add(record.slots, m_slotTime, now);
+        (member ? sum.demand : sum.otherDemand) += currentDemand(source, record, now);
+        (member ? sum.reserved : sum.otherReserved) += reserved;
+    }
+}
+
+void UsageAggregator::forgetSilent(Sources &sources, base::TimePoint now) const
+{
+    std::erase_if(sources, [&](const auto &entry) {
+        return now - entry.second.heardAt > m_options.holdTime + m_options.holdMargin;
+    });
+    for (auto &[name, source] : sources) {
+        const bool silent = now - source.heardAt > m_options.newsLifetime;
+        std::erase_if(source.records, [&](const auto &entry) {
+            return !silent && now - entry.second.receivedAt > m_options.window + m_options.newsLifetime;
+        });
+    }
+}
+
+void UsageAggregator::refresh(base::TimePoint now)
+{
+    if (m_refreshedAt && now - *m_refreshedAt < s_refreshPeriod) {
+        return;
+    }
+    m_refreshedAt = now;
+    forgetSilent(m_sources, now);
+    forgetSilent(m_domains, now);
+    std::erase_if(m_former, [&](const auto &entry) {
+        return entry.second.total(m_slotTime, now) == 0;
+    });
+    for (auto &[id, sum] : m_sums) {
+        const Sum fresh{{}, 0, 0, sum.announcedDemand, sum.announcedUse, {}, 0, 0, sum.announcedAt};
+        sum = fresh;
+    }
+    for (auto &[name, source] : m_sources) {
+        addSource(source, true, now);
+    }
+    for (auto &[name, source] : m_domains) {
+        addSource(source, false, now);
+    }
+    for (const auto &[id, slots] : m_former) {
+        m_sums[id].slots.add(slots, m_slotTime, now);
+    }
+    std::erase_if(m_sums, [&](const auto &entry) {
+        const Sum &sum = entry.second;
+        return !m_limits.contains(entry.first)
+            || (sum.demand + sum.otherDemand + sum.reserved + sum.otherReserved == 0 && sum.slots.total(m_slotTime, now) == 0);
+    });
+    updateShares(now);
+}
+
+void UsageAggregator::updateShares(base::TimePoint now)
+{
+    const auto update = [&](Sources &sources, auto share) {
+        for (auto &[name, source] : sources) {
+            if (now - source.heardAt > m_options.newsLifetime) {
+                continue; // keeps the share that the silent sender may still use
+            }
+            for (auto &[id, record] : source.records) {
+                if (const auto sum = m_sums.find(id); sum != m_sums.end()) {
+                    record.share = share(source, record, sum->second, m_limits.at(id).target);
+                }
+            }
+        }
+    };
+    update(m_sources, [&](const Source &source, const Record &record, const Sum &sum, double target) {
+        return shareOf(source, &record, sum, target, now);
+    });
+    update(m_domains, [&](const Source &source, const Record &record, const Sum &sum, double target) {
+        return domainShareOf(currentDemand(source, record, now), sum, target, now);
+    });
+}
+
+double UsageAggregator::shareOf(const Source &source, const Record *record, const Sum &sum, double target, base::TimePoint now) const
+{
+    // The other failure domains know the demand of this one as it was announced. Using the same figures, also for each member, keeps the
+    // sum of all shares near 1 while demand changes. Otherwise the latest figure of the receiver would be divided by older ones of others.
+    const bool isAnnounced = announced(sum, now);
+    const double known = isAnnounced ? sum.announcedDemand : sum.demand;
+    const double even = evenDemand(known + sum.otherDemand, target);
+    double demand = 0;
+    if (record != nullptr) {
+        demand = isAnnounced ? record->announcedDemand : currentDemand(source, *record, now);
+    }
+    return (demand + even / static_cast<double>(m_members)) / std::max(1.0, known + sum.otherDemand + even);
+}
+
+double UsageAggregator::domainShareOf(double demand, const Sum &sum, double target, base::TimePoint now) const
+{
+    const double known = announced(sum, now) ? sum.announcedDemand : sum.demand;
+    const double even = evenDemand(known + sum.otherDemand, target);
+    const double otherMembers = static_cast<double>(m_members - std::min(m_members, m_sources.size()));
+    const double members = otherMembers / static_cast<double>(std::max<std::size_t>(1, m_domains.size()));
+    return (demand + even * members / static_cast<double>(m_members)) / std::max(1.0, known + sum.otherDemand + even);
+}
+
+double UsageAggregator::reservedForUnknown(double target) const
+{
+    const std::size_t unknown = m_otherDomains - std::min(m_otherDomains, m_domains.size());
+    return target * static_cast<double>(unknown) / static_cast<double>(m_otherDomains + 1);
+}
+
+bool UsageAggregator::watched(const Sum &sum, double target) const
+{
+    const double used = sum.slots.latest(s_slots) + sum.otherSlots.latest(s_slots) + sum.reserved + sum.otherReserved;
+    return std::max(used, sum.demand + sum.otherDemand) > s_watchedUse * target;
+}
+
+std::vector<AccountUsage> UsageAggregator::usagesFor(const std::string &member, const UsageMessage *report, base::TimePoint now)
+{
+    refresh(now);
+    Source &receiver = m_sources[member];
+    std::vector<AccountUsage> usages;
+    const auto add = [&](AccountId id, Sum &sum) {
+        const double target = m_limits.at(id).target;
+        SlotCounts others = sum.slots;
+        others.add(sum.otherSlots, m_slotTime, std::max(sum.slots.takenAt(), sum.otherSlots.takenAt()));
+        const auto own = receiver.records.find(id);
+        if (own != receiver.records.end()) {
+            others.subtract(own->second.summed, m_slotTime, others.takenAt());
+        }
+        const double share = shareOf(receiver, own == receiver.records.end() ? nullptr : &own->second, sum, target, now);
+        const double reserved = sum.reserved + sum.otherReserved + reservedForUnknown(target);
+        usages.push_back({id,
+            static_cast<std::uint64_t>(std::llround(sum.demand + sum.otherDemand)),
+            others.slots(),
+            static_cast<std::uint64_t>(std::llround(reserved)),
+            static_cast<std::uint32_t>(std::clamp(share, 0.0, 1.0) * 1e6)});
+    };
+    for (auto &[id, sum] : m_sums) {
+        const double target = m_limits.at(id).target;
+        const double used = sum.slots.latest(s_slots) + sum.otherSlots.latest(s_slots) + sum.reserved + sum.otherReserved;
+        const bool reported = report != nullptr && std::any_of(report->usages.begin(), report->usages.end(), [account = id](const AccountUsage &usage) {
+            return usage.account == account;
+        });
+        const bool limited = report != nullptr && sum.demand + sum.otherDemand > target;
+        double &told = receiver.told[id];
+        if (reported || limited || (used > s_watchedUse * target && isMuch(used - told, target))) {
+            add(id, sum);
+            told = used;
+        }
+    }
+    return usages;
+}
+
+std::vector<AccountUsage> UsageAggregator::domainUsages(base::TimePoint now)
+{
+    m_refreshedAt.reset();
+    refresh(now);
+    std::vector<AccountUsage> usages;
+    for (auto &[id, sum] : m_sums) {
+        const bool empty = sum.demand + sum.reserved == 0 && sum.slots.total(m_slotTime, now) == 0;
+        if (empty || (!watched(sum, m_limits.at(id).target) && now - sum.announcedAt < s_slowAnnouncement)) {
+            continue;
+        }
+        sum.announcedDemand = 0;
+        for (auto &[name, source] : m_sources) {
+            if (const auto record = source.records.find(id); record != source.records.end()) {
+                record->second.announcedDemand = currentDemand(source, record->second, now);
+                sum.announcedDemand += record->second.announcedDemand;
+            }
+        }
+        sum.announcedUse = sum.slots.latest(s_slots);
+        sum.announcedAt = now;
+        usages.push_back(
+            {id, static_cast<std::uint64_t>(std::llround(sum.demand)), sum.slots.slots(), static_cast<std::uint64_t>(std::llround(sum.reserved)), 0});
+    }
+    return usages;
+}
+
+bool UsageAggregator::changedMuch(base::TimePoint now)
+{
+    refresh(now);
+    return std::any_of(m_sums.begin(), m_sums.end(), [this](const auto &entry) {
+        const auto &[id, sum] = entry;
+        const double target = m_limits.at(id).target;
+        const double fleet = sum.slots.latest(s_slots) + sum.otherSlots.latest(s_slots);
+        return fleet > s_watchedUse * target && isMuch((sum.slots.latest(s_slots) - sum.announcedUse) * static_cast<double>(m_domains.size() + 1), target);
+    });
+}
+
+bool UsageAggregator::ready(base::TimePoint now) const
+{
+    if (!m_firstMessageAt || now - *m_firstMessageAt < m_options.newsLifetime) {
+        return false;
+    }
+    const auto reporting = std::count_if(m_sources.begin(), m_sources.end(), [&](const auto &entry) {
+        return now - entry.second.heardAt <= m_options.newsLifetime;
+    });
+    return 2 * static_cast<std::size_t>(reporting) >= m_domainMembers;
+}
+
+} // namespace trefoilstile::quota
