Give concurrent feed requests for one table their own connections

Cause: FeedClient kept one channel for each address and table. A follower whose watch and catch-up asked the same instance at the same time replaced the handler of the request in flight, whose coroutine then never ended.

Change: a request that finds the channel busy opens another one. Test: requestsForTheSameTableEndEach.

--- a/include/trefoilstile/daemon/feed_client.hpp
+++ b/include/trefoilstile/daemon/feed_client.hpp
@@ -1,12 +1,14 @@
 // Requests to other instances for changes of tables, over connections that are kept between requests.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -26,19 +28,22 @@
 
     FeedClient(boost::asio::io_context &context, peer::EnvelopeCodec &codec);
 
-    /// Sends a request. The handler is called exactly once, never from within this call. A request to the same address for the
-    /// same table must not be pending.
+    /// Sends a request. The handler is called exactly once, never from within this call. Requests to the same address for the
+    /// same table that are pending at the same time have connections of their own.
     void request(const std::string &address, peer::FeedRequest request, base::Duration timeout, Handler handler);
 
 private:
     struct Channel;
 
-    void send(const std::shared_ptr<Channel> &channel, const std::string &address, const peer::FeedRequest &request);
+    /// Address, table, and number among the channels for both.
+    using Key = std::tuple<std::string, std::string, std::size_t>;
+
+    void send(const std::shared_ptr<Channel> &channel, const Key &key, const peer::FeedRequest &request);
     bool receive(Channel &channel, std::string_view bytes);
 
     boost::asio::io_context &m_context;
     peer::EnvelopeCodec &m_codec;
-    std::map<std::pair<std::string, std::string>, std::shared_ptr<Channel>> m_channels; ///< by address and table; open connections and those being opened
+    std::map<Key, std::shared_ptr<Channel>> m_channels; ///< open connections and those being opened
 };
 
 } // namespace trefoilstile::daemon
--- a/src/daemon/feed_client.cpp
+++ b/src/daemon/feed_client.cpp
@@ -47,11 +47,17 @@
 
 void FeedClient::request(const std::string &address, peer::FeedRequest request, base::Duration timeout, Handler handler)
 {
-    std::shared_ptr<Channel> &known = m_channels[{address, request.table}];
-    if (!known) {
-        known = std::make_shared<Channel>(m_context);
+    // A channel has one pending request. An instance that follows a table may at the same time catch up with it from the same address.
+    Key key{address, request.table, 0};
+    auto found = m_channels.find(key);
+    while (found != m_channels.end() && found->second->handler) {
+        ++std::get<std::size_t>(key);
+        found = m_channels.find(key);
     }
-    const std::shared_ptr<Channel> channel = known;
+    if (found == m_channels.end()) {
+        found = m_channels.emplace(key, std::make_shared<Channel>(m_context)).first;
+    }
+    const std::shared_ptr<Channel> channel = found->second;
     channel->handler = std::move(handler);
     channel->timer.expires_after(timeout);
     channel->timer.async_wait([channel](const boost::system::error_code &error) {
@@ -64,13 +70,14 @@
             channel->finish(std::nullopt);
         }
     });
-    boost::asio::post(m_context, [this, channel, address, request = std::move(request)] {
-        send(channel, address, request);
+    boost::asio::post(m_context, [this, channel, key, request = std::move(request)] {
+        send(channel, key, request);
     });
 }
 
-void FeedClient::send(const std::shared_ptr<Channel> &channel, const std::string &address, const peer::FeedRequest &request)
+void FeedClient::send(const std::shared_ptr<Channel> &channel, const Key &key, const peer::FeedRequest &request)
 {
+    const std::string &address = std::get<0>(key);
     try {
         std::string frame = m_codec.encode(request);
         if (channel->connection) {
@@ -84,7 +91,7 @@
             [this, channel](FrameConnection &, std::string_view bytes) {
                 return receive(*channel, bytes);
             },
-            [this, channel, key = std::pair(address, request.table)] {
+            [this, channel, key] {
                 channel->connection.reset();
                 if (const auto found = m_channels.find(key); found != m_channels.end() && found->second == channel) {
                     m_channels.erase(found);
@@ -94,7 +101,7 @@
         channel->connection->startWith(boost::asio::ip::tcp::endpoint(ip, port), std::move(frame));
     } catch (const base::Error &error) {
         log("peers", "Cannot ask {} for changes: {}", address, error.what());
-        m_channels.erase({address, request.table});
+        m_channels.erase(key);
         channel->finish(std::nullopt);
     }
 }
