Keep a requested pause while the entry of an upstream lapses

Cause: the end of a pause that an upstream asked for with Retry-After was kept in its entry only, and forgotten when the entry lapsed and returned.

Test: requestedPauseOutlivesTheEntry.

--- a/include/trefoilstile/ingress/upstream_table.hpp
+++ b/include/trefoilstile/ingress/upstream_table.hpp
@@ -211,8 +211,9 @@
     /// @param maximum maximum number of runs; the latest ones are kept
     std::vector<std::uint64_t> leavingNotices(std::size_t maximum, base::TimePoint now) const;
 
-    /// Records that the upstream asked this instance for no requests for a time. Times that overlap end with the later one.
-    void quietRequested(Upstream &upstream, base::Duration duration, base::TimePoint now) const;
+    /// Records that the upstream asked this instance for no requests for a time. Times that overlap end with the later one. The time also
+    /// applies if the entry lapses and returns, unless the upstream has started anew.
+    void quietRequested(Upstream &upstream, base::Duration duration, base::TimePoint now);
 
     /// True if the upstream has asked for no requests now.
     bool quiet(const Upstream &upstream, base::TimePoint now) const
@@ -285,6 +286,7 @@
     std::map<std::string, std::vector<Pointer>, std::less<>> m_services;
     std::unordered_map<std::uint64_t, Pointer> m_byHash; ///< the same upstreams by `Upstream::hash`
     std::unordered_map<std::uint64_t, Pointer> m_byRun; ///< the same upstreams by `Upstream::run`
+    std::map<std::uint64_t, base::TimePoint> m_quietRuns; ///< end of the pause by `Upstream::run`; at most one for each upstream that asked within an hour
     std::unordered_map<std::uint64_t, base::TimePoint> m_leavingRuns; ///< when each leaving run was learned of
     std::deque<std::uint64_t> m_leavingOrder; ///< the runs of `m_leavingRuns`, oldest first
     std::unordered_map<std::string, Pointer> m_byAddress; ///< the upstream started last at each address, of configured services only
--- a/src/ingress/upstream_table.cpp
+++ b/src/ingress/upstream_table.cpp
@@ -51,6 +51,9 @@
         upstream->region = region == m_regions.end() ? std::string() : region->second;
         upstream->hash = base::stableHash(report.id);
         upstream->run = runOf(report);
+        if (const auto quiet = m_quietRuns.find(upstream->run); quiet != m_quietRuns.end()) {
+            upstream->quietUntil = quiet->second;
+        }
         upstream->outOfService.set(OutOfServiceReason::Draining, report.draining);
         upstream->outOfService.set(OutOfServiceReason::Leaving, m_leavingRuns.contains(upstream->run));
         upstream->outOfService.set(OutOfServiceReason::Evacuated, m_evacuated.contains(report.failureDomain));
@@ -186,9 +189,13 @@
     return runs;
 }
 
-void UpstreamTable::quietRequested(Upstream &upstream, base::Duration duration, base::TimePoint now) const
+void UpstreamTable::quietRequested(Upstream &upstream, base::Duration duration, base::TimePoint now)
 {
     upstream.quietUntil = std::max(upstream.quietUntil, now + std::min(duration, m_options.maximumQuiet));
+    std::erase_if(m_quietRuns, [now](const auto &quiet) {
+        return quiet.second <= now;
+    });
+    m_quietRuns[upstream.run] = upstream.quietUntil;
 }
 
 void UpstreamTable::updateFailureLimits(base::TimePoint now)
