Share the load from which upstreams reset connections

Cause: each of 85 instances would have to see a reset of its own to learn the limit, and each reset may cost a request.

Change: load reports within a failure domain carry the limits of up to two services (optional field 5). A limit of another instance is used if it is lower than the own and at least one request per slot. The wait for a reset takes at least the time that connecting took, since an instance that learned the limit from others does not know how long resets take. Reports with speeds carry 36 loads in place of 40: with hashes of full length a report of 40 loads had exceeded the datagram limit; the test now uses such hashes.

--- a/include/trefoilstile/ingress/connection_restraint.hpp
+++ b/include/trefoilstile/ingress/connection_restraint.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <limits>
 
 #include "trefoilstile/base/time.hpp"
@@ -21,6 +22,9 @@
     /// @param delay time from the establishment to the reset
     void connectionReset(double loadPerSlot, base::Duration delay, base::TimePoint now);
 
+    /// Records a limit that another instance has learned. One that is not lower than the own or out of range is ignored.
+    void learned(double loadLimit, base::TimePoint now);
+
     /// Load per slot from which an upstream is expected to reset new connections; infinite if nothing indicates it.
     double loadLimit(base::TimePoint now) const;
 
@@ -40,6 +44,12 @@
     base::Duration m_resetDelay{};
 };
 
+/// Load limit that an instance has learned for a service and shares with others.
+struct ConnectionLoadLimit {
+    std::uint64_t service{}; ///< hash of its name
+    double loadPerSlot{};
+};
+
 /// Time without new connections of this instance to one upstream after a reset.
 struct ConnectionBackOff {
     base::TimePoint until;
--- a/include/trefoilstile/ingress/upstream_table.hpp
+++ b/include/trefoilstile/ingress/upstream_table.hpp
@@ -280,6 +280,12 @@
     /// @param connectionLimit maximum number of connections of this instance to an upstream of the service
     bool connectionRestrained(const Upstream &upstream, std::size_t connectionLimit, base::TimePoint now) const;
 
+    /// Load limits of new connections that are in force, for the other instances.
+    std::vector<ConnectionLoadLimit> connectionLoadLimits(std::size_t maximum, base::TimePoint now) const;
+
+    /// Records a load limit that another instance has learned; ignored for unknown services.
+    void applyConnectionLoadLimit(const ConnectionLoadLimit &limit, base::TimePoint now);
+
     /// Records the end of an attempt.
     /// @param took duration of the attempt
     /// @param loadBefore estimated load of the upstream when the request was sent
--- a/include/trefoilstile/peer/payload.hpp
+++ b/include/trefoilstile/peer/payload.hpp
@@ -160,12 +160,21 @@
     friend bool operator==(const TableVersion &, const TableVersion &) = default;
 };
 
+/// Load of an upstream of a service from which it resets new connections.
+struct ConnectionLoadLimit {
+    std::uint64_t service{}; ///< stable hash of its name
+    std::uint32_t loadPercent{}; ///< requests per slot in percent
+
+    friend bool operator==(const ConnectionLoadLimit &, const ConnectionLoadLimit &) = default;
+};
+
 /// What the sender has learned recently and other instances should know.
 struct LoadReport {
     std::vector<UpstreamLoad> loads; ///< reported by upstreams since the sender's last `LoadReport`
     std::vector<std::uint64_t> leavingRuns; ///< runs of upstreams that have announced that they leave
     std::vector<TableVersion> tables;
     std::string peerAddress; ///< of the sender, for requests for changes of `tables`
+    std::vector<ConnectionLoadLimit> connectionLimits{};
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -93,8 +93,9 @@
     static constexpr base::Duration s_tickPeriod = std::chrono::milliseconds(100);
     static constexpr base::Duration s_reportPeriod = std::chrono::milliseconds(300); ///< shorter than the time constant of the loads
     static constexpr std::size_t s_maximumLoadsPerReport = 45; ///< fits into one datagram together with `s_maximumLeavingPerReport`
-    static constexpr std::size_t s_maximumLoadsWithSpeed = 40; ///< the same where upstreams report their speed
+    static constexpr std::size_t s_maximumLoadsWithSpeed = 36; ///< the same where upstreams report their speed
     static constexpr std::size_t s_maximumLeavingPerReport = 25;
+    static constexpr std::size_t s_maximumLimitsPerReport = 2; ///< services; deployments have one or two
     /// After the join, readers are chosen from the registered instances until this share of them is known to run, or the time is
     /// over. Otherwise every instance would consider itself a reader while all start.
     static constexpr double s_settledShare = 0.6;
@@ -305,6 +306,9 @@
         for (const std::uint64_t run : report.leavingRuns) {
             m_core.upstreamTable.applyLeavingNotice(run, now);
         }
+        for (const ingress::ConnectionLoadLimit &limit : report.connectionLimits) {
+            m_core.upstreamTable.applyConnectionLoadLimit(limit, now);
+        }
         for (const KnownTable &known : report.tables) {
             forEachTable([&](auto &table) {
                 table.heard(known, report.peerAddress, now);
@@ -322,6 +326,7 @@
         report.loads =
             m_core.upstreamTable.takeLoadObservations(m_core.upstreamTable.speedsReported() ? s_maximumLoadsWithSpeed : s_maximumLoadsPerReport, now);
         report.leavingRuns = m_core.upstreamTable.leavingNotices(s_maximumLeavingPerReport, now);
+        report.connectionLimits = m_core.upstreamTable.connectionLoadLimits(s_maximumLimitsPerReport, now);
         bool news = !report.leavingRuns.empty();
         bool reader = false;
         forEachTable([&](auto &table) {
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -113,7 +113,8 @@
     boost::asio::awaitable<std::optional<AttemptEnd>> connect(std::shared_ptr<Attempt> attempt);
     /// Waits as long as the upstream takes to reset a new connection that it does not accept, if it probably does not. True if it
     /// has reset it.
-    boost::asio::awaitable<bool> resetBeforeWriting(std::shared_ptr<Attempt> attempt);
+    /// @param roundTrip time that it took to connect; a reset takes as long at least
+    boost::asio::awaitable<bool> resetBeforeWriting(std::shared_ptr<Attempt> attempt, base::Duration roundTrip);
     /// Records it if the upstream has reset the attempt's connection right after it was established.
     void noteConnectionReset(const Attempt &attempt, bool written, base::TimePoint now);
     boost::asio::awaitable<AttemptEnd> readResponse(std::shared_ptr<Attempt> attempt);
--- a/include/trefoilstile/proxy/fleet_report.hpp
+++ b/include/trefoilstile/proxy/fleet_report.hpp
@@ -21,6 +21,7 @@
     std::vector<std::uint64_t> leavingRuns; ///< `Upstream::run` of upstreams that have announced that they leave
     std::vector<KnownTable> tables;
     std::string peerAddress; ///< of the sender; set by `MemberLink`
+    std::vector<ingress::ConnectionLoadLimit> connectionLimits;
 };
 
 } // namespace trefoilstile::proxy
--- a/src/ingress/connection_restraint.cpp
+++ b/src/ingress/connection_restraint.cpp
@@ -42,6 +42,14 @@
     m_resetDelay = std::clamp(delay, m_resetDelay, s_maximumResetDelay);
 }
 
+void ConnectionRestraint::learned(double limit, base::TimePoint now)
+{
+    if (limit >= s_minimumLoadLimit && limit < loadLimit(now) && limit <= s_highestLoadLimit) {
+        m_loadLimit = limit;
+        m_resetAt = now;
+    }
+}
+
 double ConnectionRestraint::loadLimit(base::TimePoint now) const
 {
     const double limit = m_loadLimit + s_recovery * base::toSeconds(now - m_resetAt);
--- a/src/ingress/upstream_table_load.cpp
+++ b/src/ingress/upstream_table_load.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/ingress/upstream_table.hpp"
 
 namespace trefoilstile::ingress
@@ -116,4 +117,25 @@
     return estimated >= limit * slots || upstream.openConnections >= restraint.allowed(connectionLimit, estimated, slots, now);
 }
 
+std::vector<ConnectionLoadLimit> UpstreamTable::connectionLoadLimits(std::size_t maximum, base::TimePoint now) const
+{
+    std::vector<ConnectionLoadLimit> limits;
+    for (const auto &[service, restraint] : m_connectionRestraints) {
+        const double limit = restraint->loadLimit(now);
+        if (limits.size() < maximum && std::isfinite(limit)) {
+            limits.push_back({base::stableHash(service), limit});
+        }
+    }
+    return limits;
+}
+
+void UpstreamTable::applyConnectionLoadLimit(const ConnectionLoadLimit &limit, base::TimePoint now)
+{
+    for (const auto &[service, restraint] : m_connectionRestraints) {
+        if (base::stableHash(service) == limit.service) {
+            restraint->learned(limit.loadPerSlot, now);
+        }
+    }
+}
+
 } // namespace trefoilstile::ingress
--- a/src/ingress/upstream_table_load_test.cpp
+++ b/src/ingress/upstream_table_load_test.cpp
@@ -98,6 +98,24 @@
     BOOST_TEST(!fixture.table.connectionRestrained(second, 20, s_start + 10s));
 }
 
+// Guards against resets that every instance of a failure domain has to see for itself.
+BOOST_AUTO_TEST_CASE(loadLimitOfConnectionsIsShared)
+{
+    TableFixture sender;
+    TableFixture receiver;
+    sender.table.applyReportedLoad(sender.upstream(), {4, 4, 4}, s_start);
+    receiver.table.applyReportedLoad(receiver.upstream(), {4, 4, 4}, s_start);
+    BOOST_TEST(sender.table.connectionLoadLimits(2, s_start).empty());
+    sender.table.connectionReset(sender.upstream(), 2ms, s_start);
+    const auto limits = sender.table.connectionLoadLimits(2, s_start);
+    BOOST_REQUIRE(limits.size() == 1U);
+    receiver.table.applyConnectionLoadLimit({limits.front().service + 1, 1.2}, s_start); // another service
+    receiver.table.applyConnectionLoadLimit({limits.front().service, 0.1}, s_start); // out of range
+    BOOST_TEST(!receiver.table.connectionRestrained(receiver.upstream(), 20, s_start));
+    receiver.table.applyConnectionLoadLimit(limits.front(), s_start);
+    BOOST_TEST(receiver.table.connectionRestrained(receiver.upstream(), 20, s_start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::ingress
--- a/src/peer/gen/trefoilstile_types.cpp
+++ b/src/peer/gen/trefoilstile_types.cpp
@@ -4142,6 +4142,118 @@
 }
 
 
+ConnectionLoadLimit::~ConnectionLoadLimit() noexcept {
+}
+
+
+void ConnectionLoadLimit::__set_serviceHash(const int64_t val) {
+  this->serviceHash = val;
+}
+
+void ConnectionLoadLimit::__set_loadPercent(const int32_t val) {
+  this->loadPercent = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConnectionLoadLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConnectionLoadLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serviceHash);
+          this->__isset.serviceHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->loadPercent);
+          this->__isset.loadPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConnectionLoadLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConnectionLoadLimit");
+
+  xfer += oprot->writeFieldBegin("serviceHash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->serviceHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loadPercent", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->loadPercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConnectionLoadLimit &a, ConnectionLoadLimit &b) {
+  using ::std::swap;
+  swap(a.serviceHash, b.serviceHash);
+  swap(a.loadPercent, b.loadPercent);
+  swap(a.__isset, b.__isset);
+}
+
+ConnectionLoadLimit::ConnectionLoadLimit(const ConnectionLoadLimit& other78) noexcept {
+  serviceHash = other78.serviceHash;
+  loadPercent = other78.loadPercent;
+  __isset = other78.__isset;
+}
+ConnectionLoadLimit& ConnectionLoadLimit::operator=(const ConnectionLoadLimit& other79) noexcept {
+  serviceHash = other79.serviceHash;
+  loadPercent = other79.loadPercent;
+  __isset = other79.__isset;
+  return *this;
+}
+void ConnectionLoadLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConnectionLoadLimit(";
+  out << "serviceHash=" << to_string(serviceHash);
+  out << ", " << "loadPercent=" << to_string(loadPercent);
+  out << ")";
+}
+
+
 LoadReport::~LoadReport() noexcept {
 }
 
@@ -4161,6 +4273,11 @@
 void LoadReport::__set_peerAddress(const std::string& val) {
   this->peerAddress = val;
 }
+
+void LoadReport::__set_connectionLimits(const std::vector<ConnectionLoadLimit> & val) {
+  this->connectionLimits = val;
+__isset.connectionLimits = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -4193,14 +4310,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->loads.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->loads.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->loads[_i82].read(iprot);
+              xfer += this->loads[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4213,14 +4330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingRuns.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->leavingRuns.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->leavingRuns.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += iprot->readI64(this->leavingRuns[_i87]);
+              xfer += iprot->readI64(this->leavingRuns[_i89]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4233,14 +4350,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tables.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->tables.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->tables.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->tables[_i92].read(iprot);
+              xfer += this->tables[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4257,6 +4374,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->connectionLimits.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->connectionLimits.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += this->connectionLimits[_i99].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.connectionLimits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4277,10 +4414,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<UpstreamLoad> ::const_iterator _iter93;
-    for (_iter93 = this->loads.begin(); _iter93 != this->loads.end(); ++_iter93)
+    std::vector<UpstreamLoad> ::const_iterator _iter100;
+    for (_iter100 = this->loads.begin(); _iter100 != this->loads.end(); ++_iter100)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4289,10 +4426,10 @@
   xfer += oprot->writeFieldBegin("leavingRuns", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->leavingRuns.size()));
-    std::vector<int64_t> ::const_iterator _iter94;
-    for (_iter94 = this->leavingRuns.begin(); _iter94 != this->leavingRuns.end(); ++_iter94)
+    std::vector<int64_t> ::const_iterator _iter101;
+    for (_iter101 = this->leavingRuns.begin(); _iter101 != this->leavingRuns.end(); ++_iter101)
     {
-      xfer += oprot->writeI64((*_iter94));
+      xfer += oprot->writeI64((*_iter101));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4301,10 +4438,10 @@
   xfer += oprot->writeFieldBegin("tables", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tables.size()));
-    std::vector<TableVersion> ::const_iterator _iter95;
-    for (_iter95 = this->tables.begin(); _iter95 != this->tables.end(); ++_iter95)
+    std::vector<TableVersion> ::const_iterator _iter102;
+    for (_iter102 = this->tables.begin(); _iter102 != this->tables.end(); ++_iter102)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4314,6 +4451,19 @@
   xfer += oprot->writeString(this->peerAddress);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.connectionLimits) {
+    xfer += oprot->writeFieldBegin("connectionLimits", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->connectionLimits.size()));
+      std::vector<ConnectionLoadLimit> ::const_iterator _iter103;
+      for (_iter103 = this->connectionLimits.begin(); _iter103 != this->connectionLimits.end(); ++_iter103)
+      {
+        xfer += (*_iter103).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4325,22 +4475,25 @@
   swap(a.leavingRuns, b.leavingRuns);
   swap(a.tables, b.tables);
   swap(a.peerAddress, b.peerAddress);
+  swap(a.connectionLimits, b.connectionLimits);
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other96) {
-  loads = other96.loads;
-  leavingRuns = other96.leavingRuns;
-  tables = other96.tables;
-  peerAddress = other96.peerAddress;
-  __isset = other96.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other97) {
-  loads = other97.loads;
-  leavingRuns = other97.leavingRuns;
-  tables = other97.tables;
-  peerAddress = other97.peerAddress;
-  __isset = other97.__isset;
+LoadReport::LoadReport(const LoadReport& other104) {
+  loads = other104.loads;
+  leavingRuns = other104.leavingRuns;
+  tables = other104.tables;
+  peerAddress = other104.peerAddress;
+  connectionLimits = other104.connectionLimits;
+  __isset = other104.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other105) {
+  loads = other105.loads;
+  leavingRuns = other105.leavingRuns;
+  tables = other105.tables;
+  peerAddress = other105.peerAddress;
+  connectionLimits = other105.connectionLimits;
+  __isset = other105.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -4350,6 +4503,7 @@
   out << ", " << "leavingRuns=" << to_string(leavingRuns);
   out << ", " << "tables=" << to_string(tables);
   out << ", " << "peerAddress=" << to_string(peerAddress);
+  out << ", " << "connectionLimits="; (__isset.connectionLimits ? (out << to_string(connectionLimits)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4497,21 +4651,21 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedRequest::FeedRequest(const FeedRequest& other98) {
-  table = other98.table;
-  after = other98.after;
-  completeRead = other98.completeRead;
-  waitMs = other98.waitMs;
-  storeAvailable = other98.storeAvailable;
-  __isset = other98.__isset;
-}
-FeedRequest& FeedRequest::operator=(const FeedRequest& other99) {
-  table = other99.table;
-  after = other99.after;
-  completeRead = other99.completeRead;
-  waitMs = other99.waitMs;
-  storeAvailable = other99.storeAvailable;
-  __isset = other99.__isset;
+FeedRequest::FeedRequest(const FeedRequest& other106) {
+  table = other106.table;
+  after = other106.after;
+  completeRead = other106.completeRead;
+  waitMs = other106.waitMs;
+  storeAvailable = other106.storeAvailable;
+  __isset = other106.__isset;
+}
+FeedRequest& FeedRequest::operator=(const FeedRequest& other107) {
+  table = other107.table;
+  after = other107.after;
+  completeRead = other107.completeRead;
+  waitMs = other107.waitMs;
+  storeAvailable = other107.storeAvailable;
+  __isset = other107.__isset;
   return *this;
 }
 void FeedRequest::printTo(std::ostream& out) const {
@@ -4652,19 +4806,19 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedRow::FeedRow(const FeedRow& other100) {
-  key = other100.key;
-  value = other100.value;
-  version = other100.version;
-  removed = other100.removed;
-  __isset = other100.__isset;
+FeedRow::FeedRow(const FeedRow& other108) {
+  key = other108.key;
+  value = other108.value;
+  version = other108.version;
+  removed = other108.removed;
+  __isset = other108.__isset;
 }
-FeedRow& FeedRow::operator=(const FeedRow& other101) {
-  key = other101.key;
-  value = other101.value;
-  version = other101.version;
-  removed = other101.removed;
-  __isset = other101.__isset;
+FeedRow& FeedRow::operator=(const FeedRow& other109) {
+  key = other109.key;
+  value = other109.value;
+  version = other109.version;
+  removed = other109.removed;
+  __isset = other109.__isset;
   return *this;
 }
 void FeedRow::printTo(std::ostream& out) const {
@@ -4855,25 +5009,25 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedResponse::FeedResponse(const FeedResponse& other102) {
-  status = other102.status;
-  table = other102.table;
-  version = other102.version;
-  more = other102.more;
-  storeAvailable = other102.storeAvailable;
-  rows = other102.rows;
-  rowsBytes = other102.rowsBytes;
-  __isset = other102.__isset;
-}
-FeedResponse& FeedResponse::operator=(const FeedResponse& other103) {
-  status = other103.status;
-  table = other103.table;
-  version = other103.version;
-  more = other103.more;
-  storeAvailable = other103.storeAvailable;
-  rows = other103.rows;
-  rowsBytes = other103.rowsBytes;
-  __isset = other103.__isset;
+FeedResponse::FeedResponse(const FeedResponse& other110) {
+  status = other110.status;
+  table = other110.table;
+  version = other110.version;
+  more = other110.more;
+  storeAvailable = other110.storeAvailable;
+  rows = other110.rows;
+  rowsBytes = other110.rowsBytes;
+  __isset = other110.__isset;
+}
+FeedResponse& FeedResponse::operator=(const FeedResponse& other111) {
+  status = other111.status;
+  table = other111.table;
+  version = other111.version;
+  more = other111.more;
+  storeAvailable = other111.storeAvailable;
+  rows = other111.rows;
+  rowsBytes = other111.rowsBytes;
+  __isset = other111.__isset;
   return *this;
 }
 void FeedResponse::printTo(std::ostream& out) const {
@@ -4929,14 +5083,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->rows.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->rows.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->rows[_i108].read(iprot);
+              xfer += this->rows[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4965,10 +5119,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<FeedRow> ::const_iterator _iter109;
-    for (_iter109 = this->rows.begin(); _iter109 != this->rows.end(); ++_iter109)
+    std::vector<FeedRow> ::const_iterator _iter117;
+    for (_iter117 = this->rows.begin(); _iter117 != this->rows.end(); ++_iter117)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4985,13 +5139,13 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedRows::FeedRows(const FeedRows& other110) {
-  rows = other110.rows;
-  __isset = other110.__isset;
+FeedRows::FeedRows(const FeedRows& other118) {
+  rows = other118.rows;
+  __isset = other118.__isset;
 }
-FeedRows& FeedRows::operator=(const FeedRows& other111) {
-  rows = other111.rows;
-  __isset = other111.__isset;
+FeedRows& FeedRows::operator=(const FeedRows& other119) {
+  rows = other119.rows;
+  __isset = other119.__isset;
   return *this;
 }
 void FeedRows::printTo(std::ostream& out) const {
--- a/src/peer/gen/trefoilstile_types.h
+++ b/src/peer/gen/trefoilstile_types.h
@@ -75,6 +75,8 @@
 
 class TableVersion;
 
+class ConnectionLoadLimit;
+
 class LoadReport;
 
 class FeedRequest;
@@ -1780,12 +1782,63 @@
 
 std::ostream& operator<<(std::ostream& out, const TableVersion& obj);
 
+typedef struct _ConnectionLoadLimit__isset {
+  _ConnectionLoadLimit__isset() : serviceHash(false), loadPercent(false) {}
+  bool serviceHash :1;
+  bool loadPercent :1;
+} _ConnectionLoadLimit__isset;
+
+class ConnectionLoadLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConnectionLoadLimit(const ConnectionLoadLimit&) noexcept;
+  ConnectionLoadLimit& operator=(const ConnectionLoadLimit&) noexcept;
+  ConnectionLoadLimit() noexcept
+                      : serviceHash(0),
+                        loadPercent(0) {
+  }
+
+  virtual ~ConnectionLoadLimit() noexcept;
+  int64_t serviceHash;
+  int32_t loadPercent;
+
+  _ConnectionLoadLimit__isset __isset;
+
+  void __set_serviceHash(const int64_t val);
+
+  void __set_loadPercent(const int32_t val);
+
+  bool operator == (const ConnectionLoadLimit & rhs) const
+  {
+    if (!(serviceHash == rhs.serviceHash))
+      return false;
+    if (!(loadPercent == rhs.loadPercent))
+      return false;
+    return true;
+  }
+  bool operator != (const ConnectionLoadLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConnectionLoadLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConnectionLoadLimit &a, ConnectionLoadLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const ConnectionLoadLimit& obj);
+
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : loads(false), leavingRuns(false), tables(false), peerAddress(false) {}
+  _LoadReport__isset() : loads(false), leavingRuns(false), tables(false), peerAddress(false), connectionLimits(false) {}
   bool loads :1;
   bool leavingRuns :1;
   bool tables :1;
   bool peerAddress :1;
+  bool connectionLimits :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -1802,6 +1855,7 @@
   std::vector<int64_t>  leavingRuns;
   std::vector<TableVersion>  tables;
   std::string peerAddress;
+  std::vector<ConnectionLoadLimit>  connectionLimits;
 
   _LoadReport__isset __isset;
 
@@ -1813,6 +1867,8 @@
 
   void __set_peerAddress(const std::string& val);
 
+  void __set_connectionLimits(const std::vector<ConnectionLoadLimit> & val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(loads == rhs.loads))
@@ -1823,6 +1879,10 @@
       return false;
     if (!(peerAddress == rhs.peerAddress))
       return false;
+    if (__isset.connectionLimits != rhs.__isset.connectionLimits)
+      return false;
+    else if (__isset.connectionLimits && !(connectionLimits == rhs.connectionLimits))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
--- a/src/peer/generators.hpp
+++ b/src/peer/generators.hpp
@@ -106,7 +106,8 @@
         LoadReport{{{anyNumber(), smallNumber(), smallNumber(), duration(), 250}, {anyNumber(), smallNumber(), smallNumber(), duration()}},
             {anyNumber(), anyNumber()},
             {{text(), nonNegativeNumber()}},
-            text()},
+            text(),
+            {{anyNumber(), smallNumber()}}},
         FeedRequest{text(), nonNegativeNumber(), true, duration(), false},
         FeedResponse{FeedStatus::Changes, text(), nonNegativeNumber(), true, true, {text(), 5}}};
 }
--- a/src/peer/translate_transfers.cpp
+++ b/src/peer/translate_transfers.cpp
@@ -238,6 +238,13 @@
         out.tables.push_back(entry);
     }
     out.peerAddress = value.peerAddress;
+    for (const ConnectionLoadLimit &limit : value.connectionLimits) {
+        wire::ConnectionLoadLimit entry;
+        entry.serviceHash = bitsToWire(limit.service);
+        entry.loadPercent = static_cast<std::int32_t>(limit.loadPercent);
+        out.connectionLimits.push_back(entry);
+    }
+    out.__isset.connectionLimits = !out.connectionLimits.empty();
     return out;
 }
 
@@ -258,6 +265,9 @@
         out.tables.push_back({checkedText(table.table), checkedNumber<std::uint64_t>(table.version)});
     }
     out.peerAddress = checkedText(value.peerAddress);
+    for (const wire::ConnectionLoadLimit &limit : value.connectionLimits) {
+        out.connectionLimits.push_back({bitsFromWire(limit.serviceHash), checkedNumber<std::uint32_t>(limit.loadPercent)});
+    }
     return out;
 }
 
--- a/src/peer/trefoilstile.thrift
+++ b/src/peer/trefoilstile.thrift
@@ -188,11 +188,17 @@
   2: i64 version
 }
 
+struct ConnectionLoadLimit {
+  1: i64 serviceHash
+  2: i32 loadPercent
+}
+
 struct LoadReport {
   1: list<UpstreamLoad> loads
   2: list<i64> leavingRuns
   3: list<TableVersion> tables
   4: string peerAddress
+  5: optional list<ConnectionLoadLimit> connectionLimits
 }
 
 struct FeedRequest {
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -103,6 +103,7 @@
         --pointer->openConnections;
     });
     attempt->connection->readDeadline.set(std::min<base::Duration>(s_connectTimeout, m_deadline - http::now()));
+    const base::TimePoint start = http::now();
     const auto endpoint = http::parseEndpoint(upstream.report.address);
     const http::ErrorCode error = co_await attempt->connection->connect(endpoint);
     if (error || attempt->aborted) {
@@ -112,20 +113,20 @@
     attempt->connectedAt = http::now();
     enableDeadPeerDetection(*attempt->connection, m_core.connections.options().unacknowledgedTimeout, m_core.connections.options().keepAliveSeconds);
     m_core.metrics.increment("trefoilstile_upstream_connections_opened_total", {{"service", m_service}});
-    if (co_await resetBeforeWriting(attempt)) {
+    if (co_await resetBeforeWriting(attempt, *attempt->connectedAt - start)) {
         attempt->connection->close();
         co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
     }
     co_return std::nullopt;
 }
 
-boost::asio::awaitable<bool> Exchange::resetBeforeWriting(std::shared_ptr<Attempt> attempt)
+boost::asio::awaitable<bool> Exchange::resetBeforeWriting(std::shared_ptr<Attempt> attempt, base::Duration roundTrip)
 {
     const base::TimePoint now = http::now();
     if (!m_core.upstreamTable.connectionRestrained(*attempt->upstream, m_core.connectionLimit(m_service), now)) {
         co_return false;
     }
-    boost::asio::steady_timer timer(m_core.context, attempt->upstream->connectionRestraint->resetDelay() + s_resetMargin);
+    boost::asio::steady_timer timer(m_core.context, std::max(attempt->upstream->connectionRestraint->resetDelay(), roundTrip) + s_resetMargin);
     http::ErrorCode ignored; // the timer is not cancelled
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     if (!attempt->connection->peerClosed() || attempt->aborted) {
--- a/src/proxy/member_link.cpp
+++ b/src/proxy/member_link.cpp
@@ -37,6 +37,9 @@
         result.tables.push_back({table.table, table.lastChange});
     }
     result.peerAddress = report.peerAddress;
+    for (const ingress::ConnectionLoadLimit &limit : report.connectionLimits) {
+        result.connectionLimits.push_back({limit.service, static_cast<std::uint32_t>(100 * limit.loadPerSlot)});
+    }
     return result;
 }
 
@@ -51,6 +54,9 @@
         result.tables.push_back({table.table, table.version});
     }
     result.peerAddress = report.peerAddress;
+    for (const peer::ConnectionLoadLimit &limit : report.connectionLimits) {
+        result.connectionLimits.push_back({limit.service, limit.loadPercent / 100.0});
+    }
     return result;
 }
 
