Write an interim response after the earlier responses

Cause: readRequest wrote "100 Continue" at once, also before or into the response to an earlier request of the connection.

Change: the caller session passes a function that waits until the earlier responses have been written; the time limit of the body starts then. Test: interimResponseFollowsEarlierResponses.

--- a/include/trefoilstile/http/request_reader.hpp
+++ b/include/trefoilstile/http/request_reader.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -67,7 +68,11 @@
     std::uint16_t rejectStatus{}; ///< not 0: the request is refused with it and the connection must be closed
 };
 
+/// Waits until the responses to all earlier requests of the connection have been written; false if the connection ends or closes first.
+using AwaitTurn = std::function<asio::awaitable<bool>()>;
+
 /// Reads a whole request. Requests whose length could be understood in two ways are refused with 400.
-asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share);
+/// @param turn for callers that wait for an interim response, which must not be written into another response; empty: there is none
+asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share, AwaitTurn turn = {});
 
 } // namespace trefoilstile::http
--- a/include/trefoilstile/proxy/caller_session.hpp
+++ b/include/trefoilstile/proxy/caller_session.hpp
@@ -42,6 +42,8 @@
     };
 
     boost::asio::awaitable<void> readRequests();
+    /// Waits until the responses to all earlier requests have been written; false if the connection ends or closes first.
+    boost::asio::awaitable<bool> awaitTurn();
     boost::asio::awaitable<void> serve(std::shared_ptr<Pending> pending);
     boost::asio::awaitable<void> writeResponses();
     /// Cancels all pending requests and closes the connection.
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -153,7 +153,7 @@
     return true;
 }
 
-asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share)
+asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share, AwaitTurn turn)
 {
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(s_headLimit));
@@ -180,6 +180,14 @@
     connection->readDeadline.set(limits.bodyTimeout);
     const std::string *expect = findHeader(request.headers, "Expect");
     if (expect != nullptr && request.http11 && !parser.is_done() && equalsIgnoreCase(*expect, "100-continue")) {
+        if (turn) {
+            connection->readDeadline.clear();
+            const bool ready = co_await turn();
+            if (!ready) {
+                co_return ReadOutcome{true, 0};
+            }
+            connection->readDeadline.set(limits.bodyTimeout);
+        }
         const ErrorCode failed = co_await connection->write("HTTP/1.1 100 Continue\r\n\r\n", s_continueTimeout);
         if (failed) {
             co_return ReadOutcome{true, 0};
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -24,6 +24,9 @@
 /// A caller that accepts no bytes for this long is considered stalled.
 constexpr base::Duration s_writeTimeout = std::chrono::seconds(10);
 
+/// While a caller waits to send a body, nothing is read from it. At this interval it is checked whether it has disconnected.
+constexpr base::Duration s_turnCheck = std::chrono::milliseconds(100);
+
 } // namespace
 
 CallerSession::CallerSession(EntryCore &core, boost::asio::ip::tcp::socket socket, std::shared_ptr<http::BodyBudget> bodyBudget)
@@ -87,6 +90,9 @@
 boost::asio::awaitable<void> CallerSession::readRequests()
 {
     const auto self = shared_from_this();
+    const http::AwaitTurn turn = [this]() {
+        return awaitTurn();
+    };
     while (m_reading) {
         if (m_pending.size() >= s_maximumPipelined) {
             http::ErrorCode ignored; // cancelled after a response has been written
@@ -102,11 +108,11 @@
         const http::RequestLimits requestLimits{limits.bodyBytes, limits.idleTimeout + longestTimeout, limits.headTimeout + longestTimeout};
         http::Request request;
         http::BodyShare share(m_bodyBudget);
-        const http::ReadOutcome outcome = co_await http::readRequest(m_connection, requestLimits, request, share);
+        const http::ReadOutcome outcome = co_await http::readRequest(m_connection, requestLimits, request, share, turn);
         if (m_ended) {
             break;
         }
-        if (outcome.closed) {
+        if (outcome.closed && m_reading) {
             handleDisconnect();
             break;
         }
@@ -149,6 +155,19 @@
     }
 }
 
+boost::asio::awaitable<bool> CallerSession::awaitTurn()
+{
+    while (!m_ended && m_reading && !m_pending.empty()) {
+        http::ErrorCode ignored; // cancelled after a response has been written
+        m_roomForRequest.expires_after(s_turnCheck);
+        co_await m_roomForRequest.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        if (!m_ended && m_connection->peerClosed()) {
+            co_return false;
+        }
+    }
+    co_return !m_ended && m_reading;
+}
+
 boost::asio::awaitable<void> CallerSession::serve(std::shared_ptr<Pending> pending)
 {
     const auto self = shared_from_this();
--- a/src/proxy/session_test.cpp
+++ b/src/proxy/session_test.cpp
@@ -104,6 +104,24 @@
     BOOST_TEST((http::now() - start < 500ms));
 }
 
+// Guards against an interim response to a request that is written into the response to an earlier one, or before it.
+BOOST_AUTO_TEST_CASE(interimResponseFollowsEarlierResponses)
+{
+    EntryFixture entry([](const std::string &received) {
+        const std::string id = idOf(received);
+        return ScriptedReply{signedResponse(id, "body-" + id), false, id == "r1" ? 200ms : 0ms};
+    });
+    std::string expecting = request("/holds/1", "r2", "POST");
+    expecting.replace(expecting.find("Content-Length: 0"), 17, "Expect: 100-continue\r\nContent-Length: 2");
+    const std::string response = entry.send(request("/reads/1", "r1") + expecting, "100 Continue\r\n\r\n");
+    const auto first = response.find("body-r1");
+    const auto interim = response.find("HTTP/1.1 100 Continue");
+    BOOST_TEST(startsWith(response, "HTTP/1.1 200"));
+    BOOST_REQUIRE(first != std::string::npos);
+    BOOST_REQUIRE(interim != std::string::npos);
+    BOOST_TEST(first < interim);
+}
+
 // Guards against an upstream that continues to work on a request, and an attempt that stays counted, after the caller has
 // disconnected.
 BOOST_AUTO_TEST_CASE(callerDisconnectEndsTheAttempt)
