Relieve a single instance of a region that has little capacity left

Cause: lookups fell back to other regions only where a region has no instance, so a single one got all callers of the region until it was overloaded.

Change: if the spare capacity of the single instance is known and below half of the largest in other regions, up to three instances of other regions are listed too, with a probability that grows as its capacity falls. Otherwise, and where members of other regions are not known individually, answers are as before. Test: singleInstanceOfARegionIsRelieved.

--- a/include/trefoilstile/ingress/entry_list.hpp
+++ b/include/trefoilstile/ingress/entry_list.hpp
@@ -25,17 +25,22 @@
     /// An instance is listed in every answer if its spare capacity is at least this share of the largest spare capacity. Callers
     /// close connections to instances that a new answer omits, so small differences do not justify a change.
     double alwaysListedShare = 0.5;
+    /// Instances of other regions that take callers of a region whose only instance has little spare capacity left. With three, the only
+    /// instance keeps a quarter of the callers when it has none left.
+    std::size_t relievingInstances = 3;
 };
 
 /// An instance that may be listed in an answer.
 struct EntryCandidate {
     std::string address;
     double spareCapacity{}; ///< additional requests/s that the instance can accept; 0 means unknown
+    bool relieves = false; ///< of another region; listed more often the less spare capacity the only instance of the region has
 };
 
 /// Candidates for a caller: the instances of its failure domain if there are at least `minimumAddresses`, otherwise those of its
-/// region, or all instances if its region has none. Only instances that are alive, not silent and not leaving are candidates. Sorted by
-/// descending spare capacity, unknown capacity first.
+/// region, or all instances if its region has none. A single instance of a region whose spare capacity is known to be below
+/// `alwaysListedShare` of the largest elsewhere is relieved by instances of other regions. Only instances that are alive, not silent and not leaving are
+/// candidates. Sorted by descending spare capacity, unknown capacity first.
 std::vector<EntryCandidate> entryCandidates(
     const membership::MemberTable &members, std::string_view region, std::string_view failureDomain, EntryListOptions options = {});
 
@@ -51,7 +56,9 @@
     std::vector<std::string> others; // in the order of the candidates
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const bool drawn = probabilities[i] >= 1 || base::uniformUnit(random) < probabilities[i];
-        (drawn ? selected : others).push_back(std::move(candidates[i].address));
+        if (drawn || !candidates[i].relieves) {
+            (drawn ? selected : others).push_back(std::move(candidates[i].address));
+        }
     }
     for (std::size_t i = 0; i < others.size() && selected.size() < options.minimumAddresses; ++i) {
         selected.push_back(std::move(others[i]));
--- a/src/ingress/entry_list_test.cpp
+++ b/src/ingress/entry_list_test.cpp
@@ -2,6 +2,7 @@
 
 #include "trefoilstile/ingress/entry_list.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -123,6 +124,33 @@
     }
 }
 
+// Guards against a single instance of a region that gets all callers of the region until it is overloaded, and against callers that are
+// sent to other regions while it has spare capacity, or while nothing is known of it.
+BOOST_AUTO_TEST_CASE(singleInstanceOfARegionIsRelieved)
+{
+    const auto shareOfSingle = [](std::uint32_t spareCapacity) {
+        membership::MemberTable members(64);
+        addMember(members, 1, "east", "one", false, spareCapacity);
+        for (std::uint64_t number = 2; number <= 8; ++number) {
+            addMember(members, number, "west", "two", false, 100);
+        }
+        double share = 0;
+        constexpr int answers = 2'000;
+        for (std::uint64_t seed = 0; seed < answers; ++seed) {
+            const auto selected = addresses(members, "one", "east", seed);
+            if (std::find(selected.begin(), selected.end(), "10.0.0.1:80") != selected.end()) {
+                share += 1.0 / static_cast<double>(selected.size()) / answers;
+            }
+        }
+        return share;
+    };
+    BOOST_TEST(shareOfSingle(0) > 0.999); // unknown
+    BOOST_TEST(shareOfSingle(50) > 0.999);
+    BOOST_TEST(shareOfSingle(1) < 0.3);
+    BOOST_TEST(shareOfSingle(40) > shareOfSingle(25));
+    BOOST_TEST(shareOfSingle(25) > shareOfSingle(10));
+}
+
 // Guards against answers with a single instance when all other instances are much smaller, and against answers that omit small
 // instances after the large one has failed.
 BOOST_AUTO_TEST_CASE(minimumNumberOfInstancesIsListed)
