--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -60,6 +60,7 @@
         std::shared_ptr<http::Connection> connection;
         ingress::PlacementReason reason = ingress::PlacementReason::None;
         double load{}; ///< estimated load of the upstream when it was chosen
+        double speed = 1; ///< expected speed factor when it was chosen
         base::Duration loadAge{}; ///< -1 ns: the upstream has not reported a load
         base::Duration wait{}; ///< expected wait for a slot, if the attempt is the first
         base::Duration service{}; ///< expected time in a slot at the usual speed, if the attempt is the first
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -364,6 +364,7 @@
     attempt->upstream = placed.upstream;
     attempt->reason = placed.reason;
     attempt->load = placed.load;
+    attempt->speed = m_core.upstreamTable.speedFactor(*placed.upstream, now);
     attempt->loadAge = placed.upstream->loadUpdatedAt == base::TimePoint() ? base::Duration(-1) : now - placed.upstream->loadUpdatedAt;
     attempt->startedAt = now;
     m_attempts.push_back(attempt);
--- a/src/proxy/exchange_log.cpp
+++ b/src/proxy/exchange_log.cpp
@@ -91,9 +91,11 @@
         line.text(prefix + "upstream", attempt.upstream->report.id)
             .text(prefix + "placed", reasonName(attempt.reason))
             .real(prefix + "load", attempt.load)
-            .milliseconds(prefix + "load_age_ms", attempt.loadAge)
-            .text(prefix + "verdict", attempt.ended ? verdictName(attempt.end.verdict) : "unfinished")
-            .milliseconds(prefix + "took_ms", took);
+            .milliseconds(prefix + "load_age_ms", attempt.loadAge);
+        if (attempt.upstream->speed.known()) {
+            line.real(prefix + "speed", attempt.speed);
+        }
+        line.text(prefix + "verdict", attempt.ended ? verdictName(attempt.end.verdict) : "unfinished").milliseconds(prefix + "took_ms", took);
     }
     m_core.log.write(line, now);
 }
