Close kept connections only where new ones are restrained

Cause: while an upstream had more requests than slots, a new connection closed a kept one, also at upstreams that never reset a connection, so earlier deployments would have been served differently.

Change: the kept connection is closed only if resets of new connections have shown that the upstream accepts fewer.

--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -94,7 +94,7 @@
     if (upstream.openConnections >= m_core.connectionLimit(m_service)) {
         co_return AttemptEnd{AttemptVerdict::Cancelled, false, true, std::nullopt};
     }
-    if (m_core.upstreamTable.load(upstream, http::now()) > upstream.report.slots) {
+    if (restrained && m_core.upstreamTable.load(upstream, http::now()) > upstream.report.slots) {
         m_core.connections.closeOldest(upstream.report.id); // the upstream accepts fewer connections now; kept ones count too
     }
     attempt->connection = std::make_shared<http::Connection>(m_core.context);
