--- a/include/trefoilstile/ingress/overload_control.hpp
+++ b/include/trefoilstile/ingress/overload_control.hpp
@@ -53,6 +53,9 @@
     std::size_t maximumReturns = 1'024; ///< refused requests remembered until they are due to return
     /// Difference of the deadlines by which a returning request is recognised; covers the network and the caller's own delay.
     base::Duration returnTolerance = std::chrono::milliseconds(50);
+    /// Fraction of a route's requests that must allow the same time while nothing is refused, so that a shorter time shows how long ago
+    /// the first try was, also one at another instance. Below it, callers of the route choose different deadlines.
+    double commonAllowance = 0.8;
     double waitMargin = 0.7; ///< part of the time up to the objective that the expected wait may take, because waits vary
     /// Requests per slot that may wait at an upstream in any case, so that slots do not run idle between two requests, and at most.
     double minimumQueuePerSlot = 0.7;
@@ -62,7 +65,7 @@
     double deadlineShare = 0.9; ///< maximum fraction of the time left for wait and work
     double unrepeatableDeadlineShare = 0.75; ///< the same if it must not be repeated: an abandoned attempt would leave its outcome unknown
     base::Duration minimumRetryAfter = std::chrono::milliseconds(300);
-    double retryAfterShare = 1.0 / 3; ///< callers honour `Retry-After` up to this fraction of their time left
+    double retryAfterShare = 0.22; ///< maximum as a fraction of the time left; callers honour a third, and jitter adds up to half
 };
 
 enum class RefusalReason : std::uint8_t {
@@ -118,7 +121,7 @@
     /// Ends the control's effect after a second without requests. Call at least once per second.
     void advance(base::TimePoint now);
 
-    /// Queue that the request may join.
+    /// Queue that the request may join while the price is above 0.
     /// @param cold the object is not known to be warm at the upstream
     QueueLimit queueLimit(const RequestCost &cost, bool cold) const;
 
@@ -145,7 +148,7 @@
     enum class Tier : std::uint8_t {
         InShare, ///< within the share of the account, or without an account
         BeyondShare, ///< beyond the share of the account
-        Late, ///< refused before, and late whenever it is served now
+        Late, ///< tried before, and late whenever it is served now, or back without having waited
     };
 
     struct Kind {
@@ -175,12 +178,19 @@
         base::TimePoint firstArrival;
     };
 
+    /// Time that callers of a route allow for a request.
+    struct Allowance {
+        base::Duration longest{};
+        double common{}; ///< moving average of the fraction of requests with that time
+    };
+
     void update(double loadPerSlot, base::TimePoint now);
     void moveRefusedFraction(double seconds);
     void decay(base::Duration elapsed, base::TimePoint now);
     void assignFractions();
     void limitInversions();
     bool withinShare(const Request &request, base::TimePoint now);
+    base::Duration timeSinceFirstTry(const Request &request);
     std::size_t kindOf(const Request &request, Tier tier);
     static std::uint64_t identity(const Request &request);
     const Return *earlierTry(const Request &request, base::TimePoint now) const;
@@ -195,6 +205,7 @@
     base::TimePoint m_updatedAt;
     std::vector<Kind> m_kinds; ///< by ascending density after an update
     std::map<std::string, AccountShare, std::less<>> m_accounts; ///< accounts seen recently
+    std::map<std::string, Allowance, std::less<>> m_allowances; ///< by route, learned while nothing is refused
     double m_accountWeights{}; ///< sum over `m_accounts`
     std::vector<Return> m_returns; ///< by identity modulo the size; a collision forgets the older one
 };
--- a/src/ingress/overload_control.cpp
+++ b/src/ingress/overload_control.cpp
@@ -26,6 +26,7 @@
     update(loadPerSlot, now);
     Admission result;
     Tier tier = withinShare(request, now) ? Tier::InShare : Tier::BeyondShare;
+    base::Duration elapsed = timeSinceFirstTry(request);
     if (const Return *earlier = earlierTry(request, now)) {
         if (now < earlier->dueAt && m_refused > s_negligible) {
             // Not counted as an arrival: who returns early neither raises the demand nor gets a further chance.
@@ -33,8 +34,11 @@
             result.refusal = RefusalReason::Early;
             return result;
         }
-        tier = now + request.cost.warmWork > earlier->firstArrival + request.cost.objective ? Tier::Late : tier;
+        elapsed = std::max(elapsed, now - earlier->firstArrival);
     }
+    // No instance asks for a return sooner than half of the minimum (with jitter), so who returns sooner did not wait.
+    const bool early = elapsed > m_options.returnTolerance && elapsed < m_options.minimumRetryAfter / 2;
+    tier = early || elapsed + request.cost.warmWork > request.cost.objective ? Tier::Late : tier;
     result.kind = kindOf(request, tier);
     Kind &kind = m_kinds[result.kind];
     const double work = base::toSeconds(request.cost.warmWork);
@@ -68,9 +72,7 @@
     limit.deadlineWait = std::chrono::duration_cast<base::Duration>(cost.timeLeft * share) - work;
     limit.minimumPerSlot = cost.density() > m_price * (1 + s_negligible) ? m_options.urgentQueuePerSlot : m_options.minimumQueuePerSlot;
     limit.maximumPerSlot = m_options.maximumQueuePerSlot;
-    // A late answer is worth its slot time only while the price is below its value.
-    limit.wait =
-        cost.lateDensity() >= m_price ? limit.deadlineWait : std::chrono::duration_cast<base::Duration>((cost.objective - work) * m_options.waitMargin);
+    limit.wait = std::chrono::duration_cast<base::Duration>((cost.objective - work) * m_options.waitMargin);
     return limit;
 }
 
@@ -244,6 +246,28 @@
     return account.credit >= work;
 }
 
+base::Duration OverloadControl::timeSinceFirstTry(const Request &request)
+{
+    auto found = m_allowances.find(request.route.name);
+    if (found == m_allowances.end()) {
+        if (m_allowances.size() >= m_options.maximumKinds) {
+            return {};
+        }
+        found = m_allowances.emplace(request.route.name, Allowance{}).first;
+    }
+    Allowance &allowance = found->second;
+    const base::Duration left = request.cost.timeLeft;
+    if (m_refused == 0) {
+        constexpr double weight = 0.02;
+        if (left > allowance.longest + m_options.returnTolerance) {
+            allowance = {left, 0};
+        }
+        const double common = left + m_options.returnTolerance >= allowance.longest ? 1 : 0;
+        allowance.common += weight * (common - allowance.common);
+    }
+    return allowance.common >= m_options.commonAllowance ? std::max(base::Duration::zero(), allowance.longest - left) : base::Duration::zero();
+}
+
 std::size_t OverloadControl::kindOf(const Request &request, Tier tier)
 {
     const auto found = std::find_if(m_kinds.begin(), m_kinds.end(), [&](const Kind &kind) {
--- a/src/ingress/overload_emulation.hpp
+++ b/src/ingress/overload_emulation.hpp
@@ -24,6 +24,7 @@
     base::Duration work{}; ///< mean time in a slot for a cold object; 0.3 of it for a warm one
     const Account *account = nullptr;
     bool retriesImmediately = false; ///< instead of after `Retry-After`
+    std::uint64_t objects = 400;
     base::Duration from{}; ///< of the emulated time
     base::Duration until = std::chrono::hours(1);
 };
@@ -59,7 +60,7 @@
     std::uint32_t slots = 4;
     base::Duration lag = std::chrono::milliseconds(300); ///< age and interval of the loads that instances share
     base::Duration warmFor = std::chrono::seconds(20);
-    std::uint64_t objects = 400;
+    bool uneven = false; ///< machines are slow 15% of the time, and 3 of 100 requests take 7 times the mean work
     base::Duration length = std::chrono::seconds(30);
     base::Duration measureFrom = std::chrono::seconds(5); ///< earlier requests are not counted, while objects become warm
 };
@@ -198,7 +199,7 @@
         if (time < s_start + m_loads[load].until) {
             at(time, [this, load, time]() {
                 const double unit = base::uniformUnit(m_random);
-                const auto object = static_cast<std::uint64_t>(unit * unit * static_cast<double>(m_options.objects)); // some objects are popular
+                const auto object = static_cast<std::uint64_t>(unit * unit * static_cast<double>(m_loads[load].objects)); // some objects are popular
                 Try first{load, base::mixBits(object + 1'000 * load), time, false, time >= s_start + m_options.measureFrom, {}, {}, 0, {}};
                 results[load].sent += first.counted ? 1 : 0;
                 arrive(first);
@@ -249,7 +250,13 @@
             upstream.waiting.pop_front();
             ++upstream.running;
             base::TimePoint &warmUntil = upstream.warmUntil[request.key];
-            const double mean = base::toSeconds(m_loads[request.load].work) * (warmUntil > m_now ? 0.3 : 1.0);
+            double mean = base::toSeconds(m_loads[request.load].work) * (warmUntil > m_now ? 0.3 : 1.0);
+            if (m_options.uneven) {
+                const auto period = static_cast<std::uint64_t>((m_now - s_start) / std::chrono::milliseconds(600));
+                const auto number = static_cast<std::uint64_t>(&upstream - m_upstreams.data());
+                mean *= base::mixBits(period * 1'000 + number) % 100 < 15 ? 2.5 : 1; // a slow machine
+                mean *= base::uniformUnit(m_random) < 0.03 ? 7 : 1; // long work
+            }
             warmUntil = m_now + m_options.warmFor;
             at(m_now + base::fromSeconds(mean * (0.5 + 0.5 * exponential())), [this, request, &upstream]() {
                 --upstream.running;
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -246,7 +246,7 @@
     if (cold && candidate.load + 1 > candidate.slots * m_options.coldUtilizationLimit) {
         return false;
     }
-    if (controlled.control != nullptr) {
+    if (controlled.control != nullptr && controlled.control->price() > 0) {
         return controlled.control->queueLimit(controlled.request.cost, cold).allows(candidate.load, candidate.slots, candidate.wait);
     }
     const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
