--- a/include/trefoilstile/ingress/overload_control.hpp
+++ b/include/trefoilstile/ingress/overload_control.hpp
@@ -26,19 +26,20 @@
     /// Load per slot that the refused fraction aims at. Above 1, because a slot whose upstream has no queue stays idle until the next
     /// request arrives; every request that waits beyond this adds delay without throughput.
     double targetLoad = 1.5;
-    double freeLoad = 0.9; ///< load per slot below which slots are free and the refused fraction falls fast
+    double freeLoad = 1.1; ///< load per slot below which slots are free and the refused fraction falls fast
     /// Change per second of the refused fraction for each unit of load per slot above or below `targetLoad`, and its immediate part.
     /// Both are low because load reports are 0.3 to 3 s old; the limits of queues bound the load in the meantime.
     double loadGain = 0.15;
     double loadProportion = 0.2;
     double risePerSecond = 1; ///< bound on the rise of the refused fraction
-    double fallPerSecond = 1.5; ///< bound on its fall; lets it fall to 0 within a second after a burst
+    double fallPerSecond = 2; ///< bound on its fall; lets it fall to 0 within a second after a burst, with the average of the load
     double maximumRefused = 0.95; ///< some requests must be admitted for the load to be known
     base::Duration loadTimeConstant = std::chrono::milliseconds(300); ///< of the average over the requests of this instance
     base::Duration updateInterval = std::chrono::milliseconds(100);
     base::Duration mixTimeConstant = std::chrono::seconds(3); ///< of the recent work by kind and account
-    /// Least fraction of the requests of a kind that is admitted, relative to all. The requirement is a quarter.
-    double minimumShare = 0.35;
+    /// Least fraction of the requests of a kind that is admitted, relative to all. The requirement is a quarter; the rest allows
+    /// for requests that are admitted and find no room.
+    double minimumShare = 0.45;
     /// Maximum excess of the fraction served of a less urgent kind over that of a more urgent one. The requirement is 0.05.
     double maximumInversion = 0.03;
     /// Weight of work beyond the share of its account. Below the quotient of the densities of the most and the least urgent kind of
@@ -50,7 +51,7 @@
     double defaultAccountRate = 10; ///< weight of an account without a quota, in requests per second
     std::size_t maximumKinds = 64; ///< kinds beyond this number are decided as one
     std::size_t maximumAccounts = 512; ///< accounts beyond this number have no share of their own and compete by kind only
-    std::size_t maximumReturns = 1'024; ///< refused requests remembered until they are due to return
+    std::size_t maximumReturns = 8'192; ///< refused requests remembered until their deadline; 320 KB, used from the first refusal on
     /// Difference of the deadlines by which a returning request is recognised; covers the network and the caller's own delay.
     base::Duration returnTolerance = std::chrono::milliseconds(50);
     /// Fraction of a route's requests that must allow the same time while nothing is refused, so that a shorter time shows how long ago
@@ -110,7 +111,6 @@
 
     explicit OverloadControl(OverloadOptions options = {})
         : m_options(options)
-        , m_returns(std::max<std::size_t>(1, options.maximumReturns))
     {
     }
 
@@ -174,7 +174,8 @@
     struct Return {
         std::uint64_t identity{};
         base::TimePoint deadline;
-        base::TimePoint dueAt;
+        base::TimePoint dueAt; ///< earlier tries are refused
+        base::TimePoint latestAt; ///< latest time at which a caller that honours `Retry-After` returns
         base::TimePoint firstArrival;
     };
 
@@ -193,12 +194,14 @@
     base::Duration timeSinceFirstTry(const Request &request);
     std::size_t kindOf(const Request &request, Tier tier);
     static std::uint64_t identity(const Request &request);
-    const Return *earlierTry(const Request &request, base::TimePoint now) const;
+    Return &returnSlot(const Request &request, base::TimePoint deadline);
+    Return *earlierTry(const Request &request, base::TimePoint now);
 
     OverloadOptions m_options;
     double m_refused{};
     double m_integral{}; ///< part of `m_refused` that does not depend on the latest load
     double m_price{};
+    double m_minimumAdmitted = 1; ///< fraction of each kind that is admitted at least
     double m_load{}; ///< moving average of the load per slot
     double m_offered{}; ///< recent work offered, in seconds of slot time, decayed
     base::TimePoint m_loadAt;
@@ -207,7 +210,7 @@
     std::map<std::string, AccountShare, std::less<>> m_accounts; ///< accounts seen recently
     std::map<std::string, Allowance, std::less<>> m_allowances; ///< by route, learned while nothing is refused
     double m_accountWeights{}; ///< sum over `m_accounts`
-    std::vector<Return> m_returns; ///< by identity modulo the size; a collision forgets the older one
+    std::vector<Return> m_returns; ///< by hash of identity and deadline; a collision forgets the older one
 };
 
 } // namespace trefoilstile::ingress
--- a/src/ingress/overload_control.cpp
+++ b/src/ingress/overload_control.cpp
@@ -27,8 +27,9 @@
     Admission result;
     Tier tier = withinShare(request, now) ? Tier::InShare : Tier::BeyondShare;
     base::Duration elapsed = timeSinceFirstTry(request);
-    if (const Return *earlier = earlierTry(request, now)) {
+    if (Return *earlier = earlierTry(request, now)) {
         if (now < earlier->dueAt && m_refused > s_negligible) {
+            earlier->dueAt = earlier->latestAt; // a caller that does not wait gets no further try before those that do
             // Not counted as an arrival: who returns early neither raises the demand nor gets a further chance.
             result.kind = kindOf(request, tier);
             result.refusal = RefusalReason::Early;
@@ -70,7 +71,10 @@
     const double share = cost.repeatable ? m_options.deadlineShare : m_options.unrepeatableDeadlineShare;
     QueueLimit limit;
     limit.deadlineWait = std::chrono::duration_cast<base::Duration>(cost.timeLeft * share) - work;
-    limit.minimumPerSlot = cost.density() > m_price * (1 + s_negligible) ? m_options.urgentQueuePerSlot : m_options.minimumQueuePerSlot;
+    // What is worth the price gets the shorter queue. What is worth less is admitted for its least share only, which a full queue would
+    // take away again.
+    const bool atPrice = std::abs(cost.density() - m_price) <= s_negligible * m_price;
+    limit.minimumPerSlot = atPrice ? m_options.minimumQueuePerSlot : m_options.urgentQueuePerSlot;
     limit.maximumPerSlot = m_options.maximumQueuePerSlot;
     limit.wait = std::chrono::duration_cast<base::Duration>((cost.objective - work) * m_options.waitMargin);
     return limit;
@@ -90,8 +94,10 @@
 
 base::Duration OverloadControl::refused(const Request &request, const Admission &admission, base::TimePoint now)
 {
-    const std::uint64_t id = identity(request);
-    Return &slot = m_returns[id % m_returns.size()];
+    if (m_returns.empty()) {
+        m_returns.resize(std::max<std::size_t>(1, m_options.maximumReturns));
+    }
+    Return &slot = returnSlot(request, now + request.cost.timeLeft);
     const Return *earlier = earlierTry(request, now);
     if (admission.refusal == RefusalReason::Early && earlier != nullptr) {
         return std::max<base::Duration>(m_options.minimumRetryAfter, earlier->dueAt - now);
@@ -107,8 +113,8 @@
     const auto honoured = std::chrono::duration_cast<base::Duration>(request.cost.timeLeft * m_options.retryAfterShare);
     const base::Duration result = std::max(m_options.minimumRetryAfter, std::min(expected, honoured));
     const base::TimePoint firstArrival = earlier == nullptr ? now : earlier->firstArrival;
-    // Jitter that is added to the result may halve it.
-    slot = {id, now + request.cost.timeLeft, now + result / 2, firstArrival};
+    // Jitter makes the time stated up to half longer or shorter.
+    slot = {identity(request), now + request.cost.timeLeft, now + result / 2, now + result * 3 / 2, firstArrival};
     return result;
 }
 
@@ -139,7 +145,7 @@
     const double error = m_load - m_options.targetLoad;
     double change = m_options.loadGain * error * span;
     // Free slots are certain evidence that nothing has to be refused.
-    constexpr double freeRange = 0.3;
+    constexpr double freeRange = 0.4;
     change -= m_options.fallPerSecond * seconds * std::clamp((m_options.freeLoad - m_load) / freeRange, 0.0, 1.0);
     m_integral = std::clamp(m_integral + change, 0.0, m_options.maximumRefused);
     const double aim = std::clamp(m_integral + m_options.loadProportion * error, 0.0, m_options.maximumRefused);
@@ -176,12 +182,17 @@
     std::sort(m_kinds.begin(), m_kinds.end(), [](const Kind &left, const Kind &right) {
         return left.density < right.density;
     });
-    const double minimum = m_options.minimumShare * (1 - m_refused);
+    // Requests that are tried again count once: what is admitted is compared with the work of new requests.
+    double newWork = 0;
+    for (const Kind &kind : m_kinds) {
+        newWork += kind.tier == Tier::Late ? 0 : kind.work;
+    }
+    m_minimumAdmitted = m_options.minimumShare * std::min(1.0, (1 - m_refused) * m_offered / std::max(newWork, 1e-9));
     double toRefuse = m_refused > s_negligible ? m_refused * m_offered : 0.0;
     m_price = 0;
     for (Kind &kind : m_kinds) {
         // What is late already has had its chance; the least fraction of a kind is kept by its new requests.
-        const double least = kind.tier == Tier::Late ? 0 : minimum;
+        const double least = kind.tier == Tier::Late ? 0 : m_minimumAdmitted;
         const double refusedHere = std::min(toRefuse, (1 - least) * kind.work);
         kind.admitted = kind.work > 0 ? 1 - refusedHere / kind.work : 1;
         m_price = refusedHere > 0 ? kind.density : m_price;
@@ -286,7 +297,7 @@
     created.tier = tier;
     created.density = tier == Tier::Late ? request.cost.lateDensity() : request.cost.density() * (tier == Tier::BeyondShare ? m_options.beyondShareFactor : 1);
     // Until the next update, the least fraction for what is worth less than the price.
-    created.admitted = created.density < m_price ? m_options.minimumShare * (1 - m_refused) : 1;
+    created.admitted = created.density < m_price ? m_minimumAdmitted : 1;
     m_kinds.push_back(std::move(created));
     return m_kinds.size() - 1;
 }
@@ -296,13 +307,26 @@
     return base::mixBits(request.key ^ base::stableHash(request.route.name));
 }
 
-const OverloadControl::Return *OverloadControl::earlierTry(const Request &request, base::TimePoint now) const
+OverloadControl::Return &OverloadControl::returnSlot(const Request &request, base::TimePoint deadline)
 {
-    const std::uint64_t id = identity(request);
-    const Return &found = m_returns[id % m_returns.size()];
-    // A request of another caller for the same object has a later deadline.
-    const base::Duration difference = now + request.cost.timeLeft - found.deadline;
-    return found.identity == id && std::chrono::abs(difference) <= m_options.returnTolerance ? &found : nullptr;
+    const auto period = static_cast<std::uint64_t>(deadline.time_since_epoch() / (2 * m_options.returnTolerance));
+    return m_returns[base::mixBits(identity(request) + period) % m_returns.size()];
+}
+
+OverloadControl::Return *OverloadControl::earlierTry(const Request &request, base::TimePoint now)
+{
+    if (m_returns.empty()) {
+        return nullptr;
+    }
+    // A request of another caller for the same object has another deadline.
+    const base::TimePoint deadline = now + request.cost.timeLeft;
+    for (const base::TimePoint bound : {deadline - m_options.returnTolerance, deadline + m_options.returnTolerance}) {
+        Return &found = returnSlot(request, bound);
+        if (found.identity == identity(request) && std::chrono::abs(deadline - found.deadline) <= m_options.returnTolerance) {
+            return &found;
+        }
+    }
+    return nullptr;
 }
 
 } // namespace trefoilstile::ingress
--- a/src/ingress/overload_emulation.hpp
+++ b/src/ingress/overload_emulation.hpp
@@ -24,7 +24,7 @@
     base::Duration work{}; ///< mean time in a slot for a cold object; 0.3 of it for a warm one
     const Account *account = nullptr;
     bool retriesImmediately = false; ///< instead of after `Retry-After`
-    std::uint64_t objects = 400;
+    std::uint64_t objects = 160;
     base::Duration from{}; ///< of the emulated time
     base::Duration until = std::chrono::hours(1);
 };
@@ -55,13 +55,13 @@
     EmulatedRules rules = EmulatedRules::Overload;
     OverloadOptions overload;
     std::uint64_t seed = 1;
-    std::size_t instances = 6;
-    std::size_t upstreams = 30;
+    std::size_t instances = 3;
+    std::size_t upstreams = 12;
     std::uint32_t slots = 4;
     base::Duration lag = std::chrono::milliseconds(300); ///< age and interval of the loads that instances share
     base::Duration warmFor = std::chrono::seconds(20);
     bool uneven = false; ///< machines are slow 15% of the time, and 3 of 100 requests take 7 times the mean work
-    base::Duration length = std::chrono::seconds(30);
+    base::Duration length = std::chrono::seconds(25);
     base::Duration measureFrom = std::chrono::seconds(5); ///< earlier requests are not counted, while objects become warm
 };
 
