--- a/bench/overload/emulation_requests.cpp
+++ b/bench/overload/emulation_requests.cpp
@@ -57,7 +57,8 @@
     request->region = stream.region;
     const auto &instances = m_instancesOfRegion[stream.region];
     request->instance = instances[base::uniformBelow(stream.random, instances.size())];
-    request->object = stream.kind * 1'000'000 + base::uniformBelow(stream.random, kind.objects);
+    const double point = std::pow(base::uniformUnit(stream.random), kind.skew);
+    request->object = stream.kind * 1'000'000 + static_cast<std::uint64_t>(point * static_cast<double>(kind.objects));
     drawAccount(*request, stream.random);
     request->work = drawWork(kind, stream.random);
     request->impatient = base::uniformUnit(stream.random) < m_day.conduct.impatientPart;
--- a/bench/overload/load.hpp
+++ b/bench/overload/load.hpp
@@ -19,6 +19,7 @@
 
 struct Kind : placement::RequestKind {
     bool repeatable = true; ///< otherwise at most once
+    double skew = 1; ///< the first part p of the objects gets the part p^(1/skew) of the requests; 1: all objects get the same
 };
 
 /// Client accounts. The large ones come first; the others share the rest of the requests evenly.
--- a/bench/overload/overload_bench_test.cpp
+++ b/bench/overload/overload_bench_test.cpp
@@ -185,7 +185,7 @@
 BOOST_AUTO_TEST_CASE(experimentsOfTheRepositoryAreRead)
 {
     const std::filesystem::path folder(TREFOILSTILE_OVERLOAD_EXPERIMENTS);
-    for (const char *name : {"a.yaml", "b.yaml", "short.yaml"}) {
+    for (const char *name : {"a.yaml", "b.yaml", "a-cold.yaml", "b-cold.yaml", "short.yaml"}) {
         BOOST_TEST(!readExperiment(folder / name).variants.empty());
     }
     const Experiment experiment = readExperiment(folder / "b.yaml");
--- a/bench/overload/read_load.cpp
+++ b/bench/overload/read_load.cpp
@@ -102,6 +102,7 @@
         readTimeInto(kind.deadline, map.required("deadline_ms"), {1, 60'000}, faults);
         readWholeInto(kind.priority, map.required("priority"), {0, 100}, faults);
         readWholeInto(kind.objects, map.required("objects"), {1, 1'000'000}, faults);
+        readNumberInto(kind.skew, map.optional("skew"), {1, 10}, faults);
         readBoolInto(kind.repeatable, map.required("repeatable"), faults);
         map.finish();
         const bool known = std::any_of(deployment.services.begin(), deployment.services.end(), [&kind](const auto &described) {
