Report the share of cold work in overload_bench

The first figures suggested that short queues move requests to upstreams where their object is cold.

--- a/bench/overload/emulation_requests.cpp
+++ b/bench/overload/emulation_requests.cpp
@@ -124,7 +124,11 @@
     const base::Duration path = local ? m_deployment.withinRegion : m_deployment.betweenRegions;
     request->tried.push_back(upstream.get());
     instance.table->requestSent(*upstream, sent);
-    const auto ended = [this, request, upstream, &emulated, path, sent, load = placed.load](AttemptVerdict verdict, ingress::ReportedLoad reported, bool) {
+    const auto ended = [this, request, upstream, &emulated, path, sent, load = placed.load](AttemptVerdict verdict, ingress::ReportedLoad reported, bool cold) {
+        if (verdict == AttemptVerdict::Served && request->sentAt >= m_countFrom) {
+            ++m_result.served;
+            m_result.cold += cold ? 1 : 0;
+        }
         if (m_day.machines.reported) {
             setSpeed(reported, emulated.slowness);
         }
--- a/bench/overload/outcome.cpp
+++ b/bench/overload/outcome.cpp
@@ -26,7 +26,7 @@
 
 Summary summarize(std::string day, std::string variant, const std::vector<RunResult> &runs)
 {
-    Summary summary{std::move(day), std::move(variant), {}, {}};
+    Summary summary{std::move(day), std::move(variant), {}, {}, {}};
     const double count = static_cast<double>(runs.size());
     for (std::size_t group = 0; group < runs.front().groups.size(); ++group) {
         GroupSummary &summed = summary.groups.emplace_back();
@@ -42,6 +42,11 @@
             summed.shares[outcome] = spreadOf(shares);
         }
     }
+    std::vector<double> cold;
+    for (const RunResult &run : runs) {
+        cold.push_back(run.served == 0 ? 0.0 : static_cast<double>(run.cold) / static_cast<double>(run.served));
+    }
+    summary.cold = spreadOf(cold);
     for (const RunResult &run : runs) {
         summary.seconds.resize(std::max(summary.seconds.size(), run.seconds.size()));
         for (std::size_t second = 0; second < run.seconds.size(); ++second) {
@@ -86,7 +91,11 @@
                 text += "\n";
             }
         }
-        text += "\n";
+        std::string cold;
+        for (const Summary *summary : ofDay) {
+            cold += fmt::format("{} {} {:.3f} ± {:.3f}", cold.empty() ? "" : ",", summary->variant, summary->cold.mean, summary->cold.deviation);
+        }
+        text += fmt::format("\nShare of cold work among the completed attempts:{}.\n\n", cold);
     }
     return text;
 }
--- a/bench/overload/outcome.hpp
+++ b/bench/overload/outcome.hpp
@@ -53,6 +53,8 @@
 struct RunResult {
     std::vector<Group> groups; ///< "all", the kinds, then the groups of accounts and callers
     std::vector<Tally> seconds; ///< by the time of arrival; includes the time that the groups leave out
+    std::uint64_t served{}; ///< attempts that upstreams completed
+    std::uint64_t cold{}; ///< those of them whose object was cold there
 
     friend bool operator==(const RunResult &, const RunResult &) = default;
 };
@@ -75,13 +77,14 @@
     std::string day;
     std::string variant;
     std::vector<GroupSummary> groups;
+    Spread cold; ///< share of the completed attempts whose object was cold
     std::vector<std::array<double, s_outcomes>> seconds; ///< mean number of requests in each second
 };
 
 /// @param runs not empty, of one variant and day
 Summary summarize(std::string day, std::string variant, const std::vector<RunResult> &runs);
 
-/// Table in Markdown for each day: one line for each group and variant.
+/// Table in Markdown for each day: one line for each group and variant, and the shares of cold work.
 std::string markdownTables(const std::vector<Summary> &summaries);
 
 } // namespace trefoilstile::bench::overload
--- a/bench/overload/overload_bench_test.cpp
+++ b/bench/overload/overload_bench_test.cpp
@@ -100,6 +100,9 @@
     BOOST_TEST(std::abs(servedShare("load: 1") - 0.5) < s_tolerance);
     BOOST_TEST(std::abs(servedShare("load: 2") - 0.25) < s_tolerance);
     BOOST_TEST(servedShare("load: 0.3") > 0.999);
+    const RunResult result = runOf(dayOf("load: 0.3"), leastLoad(), 1);
+    BOOST_TEST(result.cold == result.served);
+    BOOST_TEST(result.served == groupNamed(result, "all").sent());
 }
 
 // Guards against machines that are slow for another part of the time or by another factor than the day says, and against long
@@ -197,13 +200,14 @@
 // Guards against a wrong mean or standard deviation, and against names that break the page.
 BOOST_AUTO_TEST_CASE(resultsAreSummedOverSeeds)
 {
-    RunResult half{{{"all", {{1, 1, 0, 0, 0}}}}, {{{1, 1, 0, 0, 0}}}};
-    RunResult all{{{"all", {{2, 0, 0, 0, 0}}}}, {{{2, 0, 0, 0, 0}}}};
+    RunResult half{{{"all", {{1, 1, 0, 0, 0}}}}, {{{1, 1, 0, 0, 0}}}, 2, 1};
+    RunResult all{{{"all", {{2, 0, 0, 0, 0}}}}, {{{2, 0, 0, 0, 0}}}, 2, 0};
     const Summary summary = summarize("day", "a<b", {half, all});
     const Spread &inTime = summary.groups.front().shares[0];
     BOOST_TEST(inTime.mean == 0.75);
     BOOST_TEST(std::abs(inTime.deviation - std::sqrt(0.125)) < 1e-12);
     BOOST_TEST(markdownTables({summary}).find("| all | a<b | 2 | 0.750 ± 0.354 | 0.250 ± 0.354 |") != std::string::npos);
+    BOOST_TEST(markdownTables({summary}).find("a<b 0.250 ± 0.354.") != std::string::npos);
     Experiment experiment;
     experiment.variants.emplace_back().name = "a<b";
     const std::string html = page(experiment, {summary});
