--- a/bench/overload/emulation_requests.cpp
+++ b/bench/overload/emulation_requests.cpp
@@ -57,7 +57,8 @@
     request->region = stream.region;
     const auto &instances = m_instancesOfRegion[stream.region];
     request->instance = instances[base::uniformBelow(stream.random, instances.size())];
-    request->object = stream.kind * 1'000'000 + base::uniformBelow(stream.random, kind.objects);
+    const double point = std::pow(base::uniformUnit(stream.random), kind.skew);
+    request->object = stream.kind * 1'000'000 + static_cast<std::uint64_t>(point * static_cast<double>(kind.objects));
     drawAccount(*request, stream.random);
     request->work = drawWork(kind, stream.random);
     request->impatient = base::uniformUnit(stream.random) < m_day.conduct.impatientPart;
@@ -123,7 +124,11 @@
     const base::Duration path = local ? m_deployment.withinRegion : m_deployment.betweenRegions;
     request->tried.push_back(upstream.get());
     instance.table->requestSent(*upstream, sent);
-    const auto ended = [this, request, upstream, &emulated, path, sent, load = placed.load](AttemptVerdict verdict, ingress::ReportedLoad reported, bool) {
+    const auto ended = [this, request, upstream, &emulated, path, sent, load = placed.load](AttemptVerdict verdict, ingress::ReportedLoad reported, bool cold) {
+        if (verdict == AttemptVerdict::Served && request->sentAt >= m_countFrom) {
+            ++m_result.served;
+            m_result.cold += cold ? 1 : 0;
+        }
         if (m_day.machines.reported) {
             setSpeed(reported, emulated.slowness);
         }
