--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -80,7 +80,9 @@
         const ingress::OverloadControl *control = placement.overload(service);
         const double price = control == nullptr ? 0 : control->price();
         double &logged = m_loggedPrices[service];
-        if (price == 0 && logged == 0) {
+        // A price that binds for a moment only is not reported.
+        constexpr double reportedFraction = 0.02;
+        if (logged == 0 && (price == 0 || control->refusedFraction() < reportedFraction)) {
             continue;
         }
         metrics.set("trefoilstile_overload_price", {{"service", service}}, price);
--- a/src/proxy/settings_test.cpp
+++ b/src/proxy/settings_test.cpp
@@ -125,6 +125,19 @@
     ::unsetenv(s_variable);
 }
 
+// Guards against a mode of overload control that is read as another one, and against a default other than `auto`.
+BOOST_AUTO_TEST_CASE(overloadControlIsOffOnOrAuto)
+{
+    std::vector<std::string> arguments = requiredArguments();
+    BOOST_TEST((parseSettings(arguments, s_variable).overloadControl == ingress::OverloadMode::Auto));
+    arguments.push_back("--overload-control=off");
+    BOOST_TEST((parseSettings(arguments, s_variable).overloadControl == ingress::OverloadMode::Off));
+    arguments.back() = "--overload-control=on";
+    BOOST_TEST((parseSettings(arguments, s_variable).overloadControl == ingress::OverloadMode::On));
+    arguments.back() = "--overload-control=always";
+    BOOST_TEST(errorOf(arguments).find("overload-control") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
