Compare decisions with and without overload control under loads that need it

The comparison used loads below the aim of the refused fraction. Since the price alone decides whether the limits differ, both modes decided the same there, and the check that they differ failed. Loads up to three times the aim are used instead; both modes that must agree are compared under the same loads.

--- a/src/ingress/overload_off_test.cpp
+++ b/src/ingress/overload_off_test.cpp
@@ -18,7 +18,7 @@
 using namespace std::chrono_literals;
 
 /// Decisions about random requests under random loads, as text.
-std::string decisions(const PlacementOptions &options, std::uint64_t seed, int count)
+std::string decisions(const PlacementOptions &options, std::uint64_t seed, int count, std::uint64_t levels = 12)
 {
     base::SplitMix64 random(seed);
     base::TimePoint now(100s);
@@ -42,7 +42,7 @@
     std::string text;
     for (int i = 0; i < count; ++i) {
         now += 20ms;
-        const std::uint64_t level = i / 50 % 12; // from idle to overloaded
+        const std::uint64_t level = i / 50 % levels; // from idle to overloaded
         for (const UpstreamTable::Pointer &upstream : upstreams.ofService("s")) {
             upstreams.applyReportedLoad(*upstream, {static_cast<std::uint32_t>(random.next() % (level + 1)), 0, upstream->report.slots}, now);
         }
@@ -79,9 +79,9 @@
 {
     PlacementOptions options;
     options.overloadMode = OverloadMode::Auto;
-    BOOST_TEST((decisions(options, 3, 1'000) == decisions({}, 3, 1'000)));
+    BOOST_TEST((decisions(options, 3, 2'000, 40) == decisions({}, 3, 2'000, 40)));
     options.overloadMode = OverloadMode::On;
-    BOOST_TEST((decisions(options, 3, 1'000) != decisions({}, 3, 1'000)));
+    BOOST_TEST((decisions(options, 3, 2'000, 40) != decisions({}, 3, 2'000, 40)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
