--- a/include/trefoilstile/quota/quota_gate.hpp
+++ b/include/trefoilstile/quota/quota_gate.hpp
@@ -40,8 +40,8 @@
     std::uint64_t admitted{}; ///< since the start
     std::uint64_t refused{}; ///< since the start
     double used{}; ///< attempts of all instances in the window, as known here
-    double target{}; ///< attempts in the window at which requests are refused
-    double share{}; ///< part of the target that this instance may use while the account is limited
+    double granted{}; ///< requests per window that are to be served
+    double share{}; ///< part of the quota that this instance may use while the account is limited
 };
 
 class QuotaGate
@@ -94,8 +94,8 @@
     /// Changes since the last call.
     std::vector<LimitChange> takeChanges(base::TimePoint now);
 
-    /// The accounts with the highest use in relation to their quota, and those that are limited; at most `count`.
-    std::vector<AccountFigures> largest(std::size_t count, base::TimePoint now);
+    /// The accounts with requests since the start, those first whose use is highest in relation to their quota.
+    std::vector<AccountFigures> figures(base::TimePoint now);
 
     /// Time since the last reply; nothing before the first.
     std::optional<base::Duration> newsAge(base::TimePoint now) const;
--- a/include/trefoilstile/quota/usage_aggregator.hpp
+++ b/include/trefoilstile/quota/usage_aggregator.hpp
@@ -118,6 +118,7 @@
     double domainShareOf(double demand, const Sum &sum, double target, base::TimePoint now) const;
     /// Part of the quota that is kept for failure domains that have never been heard of.
     double reservedForUnknown(double target) const;
+    bool hasChanged(const Sum &sum, double target) const;
     bool watched(const Sum &sum, double target) const;
     void forgetSilent(Sources &sources, base::TimePoint now) const;
 
@@ -133,7 +134,8 @@
     std::unordered_map<AccountId, SlotCounts> m_former; ///< attempts of former incarnations of members
     std::unordered_map<AccountId, Sum> m_sums;
     std::optional<base::TimePoint> m_refreshedAt;
-    std::optional<base::TimePoint> m_firstMessageAt;
+    std::optional<base::TimePoint> m_firstMessageAt; ///< since the start, or since no message arrived for a while
+    std::optional<base::TimePoint> m_lastMessageAt;
 };
 
 } // namespace trefoilstile::quota
--- a/src/proxy/quota_link.cpp
+++ b/src/proxy/quota_link.cpp
@@ -27,6 +27,9 @@
     return round % (s_intervalPerRank * rank + 1) == 0;
 }
 
+/// An instance without news of its own sends every second report only, to show that it runs and to get news.
+constexpr std::uint64_t s_quietInterval = 2;
+
 /// Without a reply for this long, the second aggregator is asked as well: the first may be lost or may just have started.
 constexpr base::Duration s_replyTime = std::chrono::milliseconds(700);
 
@@ -161,7 +164,8 @@
     const bool unanswered = !newsAge || *newsAge > s_replyTime;
     for (std::size_t rank = 0; rank < m_aggregators.size(); ++rank) {
         report.replyWanted = rank == 0 || (rank == 1 && unanswered);
-        if (!report.replyWanted && !isDue(m_round, rank)) {
+        const bool quiet = report.usages.empty() && !unanswered && m_round % s_quietInterval != 0;
+        if ((rank == 0 && quiet) || (!report.replyWanted && !isDue(m_round, rank))) {
             continue;
         }
         if (m_aggregators[rank].address == m_core.settings.peerAddress) {
@@ -174,7 +178,8 @@
 
 void QuotaLink::sendSums(MemberLink &members, base::TimePoint now)
 {
-    if (m_aggregators.empty() || m_aggregators.front().address != m_core.settings.peerAddress) {
+    // The sums of an aggregator that has just started are incomplete, and the other failure domains would use what is missing.
+    if (m_aggregators.empty() || m_aggregators.front().address != m_core.settings.peerAddress || !m_aggregator.ready(now)) {
         return;
     }
     quota::UsageMessage sums = message(quota::UsageKind::Domain, ++m_sumsNumber);
@@ -292,20 +297,29 @@
     }
     const auto newsAge = m_core.quota.newsAge(now);
     m_core.metrics.set("trefoilstile_quota_news_age_seconds", {}, newsAge ? base::toSeconds(*newsAge) : -1);
-    const std::vector<quota::AccountFigures> accounts = m_core.quota.largest(s_namedAccounts, now);
-    for (const quota::AccountFigures &account : accounts) {
-        if (m_named.size() < 2 * s_namedAccounts) {
+    std::size_t rank = 0;
+    double otherAdmitted = 0;
+    double otherRefused = 0;
+    for (const quota::AccountFigures &account : m_core.quota.figures(now)) {
+        if (rank++ < s_namedAccounts && m_named.size() < 2 * s_namedAccounts) {
             m_named.insert(account.account);
         }
-        if (m_named.contains(account.account)) {
-            const metrics::Labels labels{{"account", account.account}};
-            m_core.metrics.set("trefoilstile_quota_used", labels, account.used);
-            m_core.metrics.set("trefoilstile_quota_target", labels, account.target);
-            m_core.metrics.set("trefoilstile_quota_share", labels, account.share);
-            m_core.metrics.set("trefoilstile_quota_admitted", labels, static_cast<double>(account.admitted));
-            m_core.metrics.set("trefoilstile_quota_refused", labels, static_cast<double>(account.refused));
+        const auto admitted = static_cast<double>(account.admitted);
+        const auto refused = static_cast<double>(account.refused);
+        if (!m_named.contains(account.account)) {
+            otherAdmitted += admitted;
+            otherRefused += refused;
+            continue;
         }
+        const metrics::Labels labels{{"account", account.account}};
+        m_core.metrics.set("trefoilstile_quota_used", labels, account.used);
+        m_core.metrics.set("trefoilstile_quota_granted", labels, account.granted);
+        m_core.metrics.set("trefoilstile_quota_share", labels, account.share);
+        m_core.metrics.set("trefoilstile_quota_admitted", labels, admitted);
+        m_core.metrics.set("trefoilstile_quota_refused", labels, refused);
     }
+    m_core.metrics.set("trefoilstile_quota_others_admitted", {}, otherAdmitted);
+    m_core.metrics.set("trefoilstile_quota_others_refused", {}, otherRefused);
 }
 
 } // namespace trefoilstile::proxy
--- a/src/proxy/settings_test.cpp
+++ b/src/proxy/settings_test.cpp
@@ -91,6 +91,20 @@
     BOOST_TEST(errorOf(arguments).find("--retry-ratio") != std::string::npos);
 }
 
+// Guards against quotas that are enforced where the platform states no window, and against a window too short to exchange news in.
+BOOST_AUTO_TEST_CASE(quotasAreOffByDefault)
+{
+    auto arguments = requiredArguments();
+    BOOST_TEST((parseSettings(arguments, s_variable).quotaWindow == 0s));
+    arguments.insert(arguments.end(), {"--quota-window=5000ms", "--quota-overshoot=0.1", "--quota-slack=20"});
+    const Settings settings = parseSettings(arguments, s_variable);
+    BOOST_TEST((settings.quotaWindow == 5s));
+    BOOST_TEST(settings.quotaOvershoot == 0.1);
+    BOOST_TEST(settings.quotaSlack == 20.0);
+    arguments.push_back("--quota-window=50ms");
+    BOOST_TEST(errorOf(arguments).find("--quota-window") != std::string::npos);
+}
+
 // Guards against values of the settings file that are ignored, and against a flag that does not override the file.
 BOOST_AUTO_TEST_CASE(settingsFileIsReadAndFlagsOverrideIt)
 {
--- a/src/quota/fleet_model.hpp
+++ b/src/quota/fleet_model.hpp
@@ -301,8 +301,9 @@
         report.number = instance.gate->reportNumber();
         const auto newsAge = instance.gate->newsAge(m_now);
         const bool unanswered = !newsAge || *newsAge > 700ms;
+        const bool quiet = report.usages.empty() && instance.round % 2 != 0 && !unanswered;
         for (std::size_t rank = 0; rank < own.size(); ++rank) {
-            if (rank == 0 || (rank == 1 && unanswered) || instance.round % (2 * rank + 1) == 0) {
+            if ((rank == 0 && !quiet) || (rank == 1 && unanswered) || (rank > 0 && instance.round % (2 * rank + 1) == 0)) {
                 report.replyWanted = rank == 0 || (rank == 1 && unanswered);
                 send(index, own[rank], report);
             }
@@ -316,6 +317,9 @@
     void sendSums(std::size_t index)
     {
         Instance &instance = m_instances[index];
+        if (!instance.aggregator->ready(m_now)) {
+            return;
+        }
         UsageMessage sums = message(instance, UsageKind::Domain, ++instance.sumsNumber);
         sums.usages = instance.aggregator->domainUsages(m_now);
         for (std::size_t domain = 0; domain < m_options.domains; ++domain) {
--- a/src/quota/quota_gate.cpp
+++ b/src/quota/quota_gate.cpp
@@ -40,7 +40,7 @@
 constexpr double s_maximumTolerance = 4;
 
 /// An instance is limited to its share if the use would reach the target within this time at the present rate.
-constexpr base::Duration s_lookAhead = std::chrono::milliseconds(500);
+constexpr base::Duration s_lookAhead = std::chrono::milliseconds(800);
 
 /// Requests since the last report from which an instance reports at once, and the same as a part of its share.
 constexpr double s_urgentRequests = 2;
@@ -51,7 +51,7 @@
 constexpr double s_reportedUse = 0.5;
 
 /// A use below this fraction of the target is reported less often.
-constexpr double s_watchedUse = 0.3;
+constexpr double s_watchedUse = 0.5;
 
 /// Time between reports of an account with little use. It also keeps the share in effect that the instance has if it is cut off.
 constexpr base::Duration s_slowReport = std::chrono::milliseconds(1'500);
@@ -353,21 +353,18 @@
     return changes;
 }
 
-std::vector<AccountFigures> QuotaGate::largest(std::size_t count, base::TimePoint now)
+std::vector<AccountFigures> QuotaGate::figures(base::TimePoint now)
 {
     std::vector<AccountFigures> figures;
     for (auto &[id, account] : m_accounts) {
         if (account.admitted + account.refused > 0) {
             const double used = static_cast<double>(account.own.total(now)) + othersUse(account, now);
-            figures.push_back({account.name, account.admitted, account.refused, used, account.limits.target, std::max(0.0, account.share)});
+            figures.push_back({account.name, account.admitted, account.refused, used, account.limits.granted, std::max(0.0, account.share)});
         }
     }
-    const auto order = [](const AccountFigures &left, const AccountFigures &right) {
-        return std::make_pair(left.used / left.target, left.account) > std::make_pair(right.used / right.target, right.account);
-    };
-    const auto middle = figures.begin() + static_cast<std::ptrdiff_t>(std::min(count, figures.size()));
-    std::partial_sort(figures.begin(), middle, figures.end(), order);
-    figures.erase(middle, figures.end());
+    std::sort(figures.begin(), figures.end(), [](const AccountFigures &left, const AccountFigures &right) {
+        return std::make_pair(left.used / left.granted, left.account) > std::make_pair(right.used / right.granted, right.account);
+    });
     return figures;
 }
 
--- a/src/quota/usage_aggregator.cpp
+++ b/src/quota/usage_aggregator.cpp
@@ -34,8 +34,9 @@
     return s_evenDemand * target * std::max(0.0, 1 - demand / (s_evenEnd * target));
 }
 
-/// A use below this fraction of the target is passed on less often.
-constexpr double s_watchedUse = 0.3;
+/// A use below this fraction of the target is passed on less often, and changes of it at once only above the second fraction.
+constexpr double s_watchedUse = 0.5;
+constexpr double s_noticedUse = 0.3;
 constexpr base::Duration s_slowAnnouncement = std::chrono::milliseconds(1'500);
 
 /// True if a change of use is beyond what random arrivals cause.
@@ -93,7 +94,10 @@
 
 void UsageAggregator::apply(const UsageMessage &message, base::TimePoint now)
 {
-    m_firstMessageAt = m_firstMessageAt.value_or(now);
+    // After a suspension, messages that waited are as good as none.
+    const bool continued = m_lastMessageAt && now - *m_lastMessageAt <= m_options.newsLifetime;
+    m_firstMessageAt = continued ? m_firstMessageAt : now;
+    m_lastMessageAt = now;
     if (m_refreshedAt && now - *m_refreshedAt > s_shareAge) {
         refresh(now); // also where no replies are sent, so that the shares are known when senders fall silent
     }
@@ -306,7 +310,7 @@
         });
         const bool limited = report != nullptr && sum.demand + sum.otherDemand > target;
         double &told = receiver.told[id];
-        if (reported || limited || (used > s_watchedUse * target && isMuch(used - told, target))) {
+        if (reported || limited || (used > s_noticedUse * target && isMuch(used - told, target))) {
             add(id, sum);
             told = used;
         }
@@ -321,7 +325,9 @@
     std::vector<AccountUsage> usages;
     for (auto &[id, sum] : m_sums) {
         const bool empty = sum.demand + sum.reserved == 0 && sum.slots.total(m_slotTime, now) == 0;
-        if (empty || (!watched(sum, m_limits.at(id).target) && now - sum.announcedAt < s_slowAnnouncement)) {
+        const double target = m_limits.at(id).target;
+        const bool due = watched(sum, target) || hasChanged(sum, target) || now - sum.announcedAt >= s_slowAnnouncement;
+        if (empty || !due) {
             continue;
         }
         sum.announcedDemand = 0;
@@ -339,14 +345,18 @@
     return usages;
 }
 
+bool UsageAggregator::hasChanged(const Sum &sum, double target) const
+{
+    const double used = sum.slots.latest(s_slots);
+    const bool noticed = used + sum.otherSlots.latest(s_slots) > s_noticedUse * target;
+    return noticed && isMuch((used - sum.announcedUse) * static_cast<double>(m_domains.size() + 1), target);
+}
+
 bool UsageAggregator::changedMuch(base::TimePoint now)
 {
     refresh(now);
     return std::any_of(m_sums.begin(), m_sums.end(), [this](const auto &entry) {
-        const auto &[id, sum] = entry;
-        const double target = m_limits.at(id).target;
-        const double fleet = sum.slots.latest(s_slots) + sum.otherSlots.latest(s_slots);
-        return fleet > s_watchedUse * target && isMuch((sum.slots.latest(s_slots) - sum.announcedUse) * static_cast<double>(m_domains.size() + 1), target);
+        return hasChanged(entry.second, m_limits.at(entry.first).target);
     });
 }
 
