--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -9,11 +9,9 @@
 #include <csignal>
 #include <cstdint>
 #include <exception>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -31,6 +29,7 @@
 #include "trefoilstile/proxy/fleet_register.hpp"
 #include "trefoilstile/proxy/followed_table.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
+#include "trefoilstile/proxy/member_log.hpp"
 #include "trefoilstile/proxy/platform_adapter.hpp"
 #include "trefoilstile/proxy/quota_link.hpp"
 #include "trefoilstile/proxy/request_explainer.hpp"
@@ -233,7 +232,7 @@
         if (!registered) {
             co_return false;
         }
-        const std::vector<std::string> seeds = otherAddresses(*registered);
+        const std::vector<std::string> seeds = otherAddresses(*registered, m_core.settings.peerAddress);
         m_registered.clear();
         for (const RegisteredInstance &instance : *registered) {
             if (instance.registration.failureDomain == m_core.settings.failureDomain) {
@@ -265,24 +264,12 @@
         co_return true;
     }
 
-    /// Peer addresses of the registered instances but this one.
-    std::vector<std::string> otherAddresses(const std::vector<RegisteredInstance> &registered) const
-    {
-        std::vector<std::string> addresses;
-        for (const RegisteredInstance &instance : registered) {
-            if (instance.registration.peerAddress != m_core.settings.peerAddress) {
-                addresses.push_back(instance.registration.peerAddress);
-            }
-        }
-        return addresses;
-    }
-
     /// Looks for instances that have registered since the join, while no other member is known.
     boost::asio::awaitable<void> searchMembers()
     {
         const std::optional<std::vector<RegisteredInstance>> registered = co_await m_register.read();
         if (registered) {
-            for (const std::string &address : otherAddresses(*registered)) {
+            for (const std::string &address : otherAddresses(*registered, m_core.settings.peerAddress)) {
                 m_members->addSeed(address);
             }
         }
@@ -422,24 +409,8 @@
             if (incarnation != m_incarnation && member.isAlive() && member.info.failureDomain == m_core.settings.failureDomain) {
                 others.push_back(base::stableHash(member.info.name));
             }
-            LoggedMember &logged = m_loggedMembers[incarnation];
-            const LoggedMember current{member.status.state, member.isLeaving()};
-            if (logged != current) {
-                logged = current;
-                LogLine line("member");
-                line.text("name", member.info.name)
-                    .text("failure_domain", member.info.failureDomain)
-                    .text("state",
-                        current.state == membership::MemberState::Alive         ? "alive"
-                            : current.state == membership::MemberState::Suspect ? "suspect"
-                                                                                : "dead")
-                    .flag("leaving", current.leaving);
-                m_core.log.write(line, now);
-            }
         }
-        std::erase_if(m_loggedMembers, [this](const auto &entry) {
-            return m_members->members().find(entry.first) == nullptr;
-        });
+        m_memberLog.observe(m_members->members(), m_core.log, now);
         m_core.placement.setMembers(std::move(others), m_core.domainMembers.value());
         updateReaders();
     }
@@ -493,14 +464,6 @@
         m_core.log.write(line, http::now(), true);
     }
 
-    /// Membership state in the last log event about a member.
-    struct LoggedMember {
-        membership::MemberState state = membership::MemberState::Dead;
-        bool leaving = false;
-
-        friend bool operator==(const LoggedMember &, const LoggedMember &) = default;
-    };
-
     std::uint64_t m_seed;
     EntryCore m_core;
     typename Platform::Store m_store;
@@ -518,7 +481,7 @@
     http::OperatorServer m_readiness;
     http::OperatorServer m_metrics;
     CallerListener m_callers;
-    std::map<base::IncarnationId, LoggedMember> m_loggedMembers;
+    MemberLog m_memberLog;
     std::uint64_t m_membersVersion = ~0ULL; ///< version of the member table that `observeMembers` last handled
     std::optional<base::TimePoint> m_stopSince; ///< time of SIGTERM
     base::TimePoint m_nextReport;
--- a/include/trefoilstile/proxy/fleet_register.hpp
+++ b/include/trefoilstile/proxy/fleet_register.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,18 @@
     Registration registration;
 };
 
+/// Peer addresses of the registered instances but the one at `own`.
+inline std::vector<std::string> otherAddresses(const std::vector<RegisteredInstance> &registered, std::string_view own)
+{
+    std::vector<std::string> addresses;
+    for (const RegisteredInstance &instance : registered) {
+        if (instance.registration.peerAddress != own) {
+            addresses.push_back(instance.registration.peerAddress);
+        }
+    }
+    return addresses;
+}
+
 template<RowStore Store>
 class FleetRegister
 {
