Allow second attempts in the test of slow readers on a busy machine

The requests may be repeated, and one that takes longer than its objective of 300 ms gets a second attempt.

Change: the test records each request's first arrival.

--- a/src/proxy/slow_readers_test.cpp
+++ b/src/proxy/slow_readers_test.cpp
@@ -57,8 +57,12 @@
 BOOST_AUTO_TEST_CASE(slowReadersLeaveOthersServed)
 {
     const std::string large(s_largeBytes, 'x');
+    std::map<std::string, base::TimePoint> arrivals; // first arrival of each request at an upstream
+    base::Duration shortestRepeat = base::Duration::max();
     EntryFixture entry(
-        [&large](const std::string &received) {
+        [&](const std::string &received) {
+            const auto [first, added] = arrivals.emplace(idOf(received), http::now());
+            shortestRepeat = added ? shortestRepeat : std::min<base::Duration>(shortestRepeat, http::now() - first->second);
             return ScriptedReply{signedResponse(idOf(received), received.find("/reads/large") == std::string::npos ? "small" : large + "END")};
         },
         8);
@@ -84,7 +88,9 @@
         peak = std::max(peak, residentBytes());
     }
     BOOST_TEST(served == 20);
-    BOOST_TEST(entry.requestsAtUpstreams() == s_slowReaders + 20);
+    BOOST_TEST(arrivals.size() == s_slowReaders + 20U);
+    // On a busy machine a request may take longer than its objective; a second attempt may then start, and not sooner.
+    BOOST_TEST((shortestRepeat >= 300ms));
     BOOST_TEST(peak < s_maximumResident);
     BOOST_TEST_MESSAGE("peak of the resident memory of both ends: " << peak << " bytes");
 }
