--- a/src/proxy/slow_readers_test.cpp
+++ b/src/proxy/slow_readers_test.cpp
@@ -22,8 +22,12 @@
 constexpr std::uint64_t s_maximumResident = 120'000'000; ///< required of an instance with 160 MB
 
 /// Resident memory of this process in bytes, with both ends of all connections.
+/// 0 with AddressSanitizer, whose own memory is several times that of the process.
 std::uint64_t residentBytes()
 {
+#ifdef __SANITIZE_ADDRESS__
+    return 0;
+#endif
     std::ifstream file("/proc/self/statm");
     std::uint64_t total = 0;
     std::uint64_t resident = 0;
