Split Placement::choose and the entry process by what they decide

Change: `choose` is a sequence of named steps over one state (rank regions, spill, admit, take a local candidate, refuse); the ranking has a source file of its own. The join and the search of members are in `FleetJoin`, load reports in load_reports, gauges in `EntryCore`. Behaviour is unchanged, but for a join whose completion throws: it is now repeated as a whole.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -229,16 +229,47 @@
         base::TimePoint quietUntil = base::TimePoint::max(); ///< earliest end of a pause that an upstream has asked for; max: none has
     };
 
+    struct RankedRegions {
+        Ranking ranking; ///< of the planned region; of all regions if the planned one has no upstream in use
+        std::vector<const RegionGroup *> others; ///< the other regions that may serve the request
+    };
+
     /// Decision of the overload control about one request.
     struct ControlledRequest {
         OverloadControl *control{}; ///< null if the service is not under overload control
-        OverloadControl::Request request;
+        std::optional<OverloadControl::Request> request; ///< set if `control` is
         OverloadControl::Admission admission;
-        bool counted = false; ///< a first attempt; further ones have been admitted before
+        bool counted = false; ///< a first attempt under control; further ones have been admitted before
+    };
+
+    /// State of one call of `choose`.
+    struct Decision {
+        const PlacementRequest &request;
+        const Configuration &configuration;
+        base::TimePoint now;
+        ServiceState &service;
+        std::vector<Candidate> local; ///< of the planned region, by cost
+        ControlledRequest controlled;
+        PlacementResult result;
     };
 
+    static bool lowerCost(const Candidate &left, const Candidate &right)
+    {
+        return left.cost < right.cost;
+    }
+
     ServiceState &state(std::string_view service);
-    ControlledRequest underControl(ServiceState &service, const PlacementRequest &request, const Configuration &configuration);
+    RankedRegions rankRegions(const PlacementRequest &request, const ServiceState &service, std::string_view planned, base::TimePoint now) const;
+    /// Chooses the candidate unless its warm-up does not allow it; returns whether it was chosen.
+    bool take(Decision &decision, const Candidate &candidate, PlacementReason reason);
+    /// Chooses an upstream of another region if the planned one would take long and the spill limit allows it.
+    bool spill(Decision &decision, std::span<const RegionGroup *const> others);
+    /// Asks the overload control, if it applies, whether the request is admitted.
+    void admit(Decision &decision);
+    /// Chooses the candidate of the planned region with the lowest cost that has room. Those that need a new connection which would
+    /// probably be reset come last.
+    bool takeLocal(Decision &decision);
+    void refuse(Decision &decision) const;
     /// True if the candidate's queue has room for the request.
     bool hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const;
     void updateDivertedShare(std::string_view service, ServiceState &serviceState, base::TimePoint now);
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -51,6 +51,9 @@
     /// Logs an event if placement started or stopped avoiding the upstream since the last such event.
     void logHealth(ingress::Upstream &upstream, base::TimePoint now);
 
+    /// Sets the metrics that show the current state.
+    void setGauges();
+
     /// Periodic work: advances the upstream table and the request rate, updates the regional split, closes connections that
     /// were idle for too long and flushes the log. Call several times per second.
     void advance(base::TimePoint now);
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -8,7 +8,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
-#include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -26,8 +26,9 @@
 #include "trefoilstile/ingress/entry_list.hpp"
 #include "trefoilstile/proxy/activity.hpp"
 #include "trefoilstile/proxy/caller_listener.hpp"
-#include "trefoilstile/proxy/fleet_register.hpp"
+#include "trefoilstile/proxy/fleet_join.hpp"
 #include "trefoilstile/proxy/followed_table.hpp"
+#include "trefoilstile/proxy/load_reports.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
 #include "trefoilstile/proxy/member_log.hpp"
 #include "trefoilstile/proxy/platform_adapter.hpp"
@@ -46,13 +47,12 @@
         : m_seed(std::random_device{}() + (static_cast<std::uint64_t>(std::random_device{}()) << 32U))
         , m_core(context, std::move(settings), Platform::headerNames(), m_seed)
         , m_store(context, m_core.settings.storeAddress)
-        , m_register(m_core, m_store)
+        , m_join(m_core, m_store)
         , m_operator(m_core, m_store, OperatorRows<Platform>(m_core), Platform::operatorTable(), feedCall(), TableWatchOptions())
         , m_upstreams(m_core, m_store, UpstreamRows<Platform>(m_core), Platform::upstreamTable(), feedCall(), watchOptions(m_core.settings.leavingBound))
         , m_incarnation{m_core.random.next()}
         , m_quotaLink(m_core, m_incarnation)
         , m_timer(context)
-        , m_joinTimer(context)
         , m_signals(context, SIGTERM, SIGHUP)
         , m_lookups(context, {m_core.settings.lookupAddress, s_lookupConnections, s_requestTimeout})
         , m_readiness(context, {m_core.settings.readinessAddress, s_lookupConnections, s_requestTimeout})
@@ -75,8 +75,8 @@
         forEachTable([](auto &table) {
             table.start();
         });
-        spawnSupervised(m_core, "join", [this]() {
-            return join();
+        m_join.start([this](JoinedFleet joined) {
+            join(std::move(joined));
         });
         awaitSignal();
         tick();
@@ -95,24 +95,13 @@
     static constexpr base::Duration s_tickPeriod = std::chrono::milliseconds(100);
     static constexpr base::Duration s_reportPeriod = std::chrono::milliseconds(300); ///< shorter than the time constant of the loads
     static constexpr std::size_t s_tables = 2; ///< that `forEachTable` visits
-    static constexpr std::size_t s_maximumLoadsPerReport = 45; ///< fits into one datagram together with `s_maximumLeavingPerReport`
-    static constexpr std::size_t s_maximumLoadsWithSpeed = 36; ///< the same where upstreams report their speed
-    static constexpr std::size_t s_maximumLeavingPerReport = 25;
-    static constexpr std::size_t s_maximumLimitsPerReport = 2; ///< services; deployments have one or two
     /// After the join, readers are chosen from the registered instances until this share of them is known to run, or the time is
     /// over. Otherwise every instance would consider itself a reader while all start.
     static constexpr double s_settledShare = 0.6;
     static constexpr base::Duration s_settleTime = std::chrono::seconds(3); ///< members are known within two seconds of a start
-    /// When the whole system starts for the first time, all instances register within a second, and no caller waits for them.
-    static constexpr base::Duration s_firstStartPause = std::chrono::seconds(1);
-    static constexpr base::Duration s_joinPause = std::chrono::milliseconds(500);
     static constexpr base::Duration s_requestTimeout = std::chrono::seconds(10);
     static constexpr std::size_t s_lookupConnections = 512; ///< for each of the lookup, readiness and metrics servers
 
-    /// Pause between two searches of the register by an instance that knows no other, the shortest and the longest.
-    static constexpr base::Duration s_searchPause = std::chrono::seconds(3);
-    static constexpr base::Duration s_maximumSearchPause = std::chrono::minutes(1);
-
     void setHandlers()
     {
         m_lookups.handle(Platform::lookupPath(), [this](std::string_view query) {
@@ -186,65 +175,30 @@
 
     void setGauges()
     {
-        m_core.metrics.set("trefoilstile_configuration_version", {}, static_cast<double>(m_core.configuration.version));
-        m_core.metrics.set("trefoilstile_upstreams", {}, static_cast<double>(m_core.upstreamTable.size()));
-        m_core.metrics.set("trefoilstile_members", {}, static_cast<double>(m_core.members.value()));
-        m_core.metrics.set("trefoilstile_caller_connections", {}, static_cast<double>(m_core.sessions));
-        m_core.metrics.set("trefoilstile_requests_in_service", {}, static_cast<double>(m_core.requests));
+        m_core.setGauges();
         forEachTable([](auto &table) {
             table.setGauges();
         });
         m_quotaLink.setGauges(http::now());
         m_core.metrics.set("trefoilstile_feed_requests_waiting", {}, static_cast<double>(m_feedServer.waiting()));
-        m_core.metrics.set("trefoilstile_response_bytes_held", {}, static_cast<double>(m_core.responseBudget->held));
-        m_core.metrics.set("trefoilstile_log_lines_dropped", {}, static_cast<double>(m_core.log.dropped()));
     }
 
-    /// Joins the membership: creates or reads the peer key in the store, registers this instance and contacts the registered
-    /// ones. Retries until that succeeds.
-    boost::asio::awaitable<void> join()
+    /// Takes part in the membership from now on.
+    void join(JoinedFleet joined)
     {
-        while (!m_members && !m_core.stop.begun()) {
-            const bool joined = co_await tryJoin();
-            if (!joined) {
-                co_await sleep(base::jittered(s_joinPause, 0.5, m_core.random));
-            }
-        }
-    }
-
-    boost::asio::awaitable<bool> tryJoin()
-    {
-        const std::optional<std::string> key = co_await m_register.readKey();
-        if (!key) {
-            co_return false;
-        }
-        std::optional<std::vector<RegisteredInstance>> registered;
-        if (m_core.settings.firstStart) {
-            const bool written = co_await m_register.write();
-            if (!written) {
-                co_return false;
-            }
-            co_await sleep(s_firstStartPause);
-            registered = co_await m_register.read();
-        } else {
-            registered = co_await m_register.join();
-        }
-        if (!registered) {
-            co_return false;
-        }
-        const std::vector<std::string> seeds = otherAddresses(*registered, m_core.settings.peerAddress);
+        const base::TimePoint now = http::now();
+        const std::vector<std::string> seeds = otherAddresses(joined.registered, m_core.settings.peerAddress);
         m_registered.clear();
-        for (const RegisteredInstance &instance : *registered) {
+        for (const RegisteredInstance &instance : joined.registered) {
             if (instance.registration.failureDomain == m_core.settings.failureDomain) {
                 m_registered.push_back({instance.name, instance.registration.peerAddress});
             }
         }
         // Until members have been contacted, all registered instances are assumed to be running.
-        m_core.members.observe(seeds.size() + 1, http::now());
-        m_core.domainMembers.observe(std::max<std::size_t>(1, m_registered.size()), http::now());
-        m_joinedAt = http::now();
-        m_nextSearch = m_joinedAt + s_searchPause;
-        m_members = std::make_unique<MemberLink>(m_core.context, m_core.settings, *key, m_incarnation, seeds, m_core.random.next());
+        m_core.members.observe(seeds.size() + 1, now);
+        m_core.domainMembers.observe(std::max<std::size_t>(1, m_registered.size()), now);
+        m_joinedAt = now;
+        m_members = std::make_unique<MemberLink>(m_core.context, m_core.settings, joined.peerKey, m_incarnation, seeds, m_core.random.next());
         m_members->reportReceived = [this](const FleetReport &report) {
             applyReport(report);
         };
@@ -259,59 +213,14 @@
         };
         updateReaders();
         LogLine line("joined");
-        line.number("registered", static_cast<std::int64_t>(registered->size()));
-        m_core.log.write(line, http::now(), true);
-        co_return true;
-    }
-
-    /// Looks for instances that have registered since the join, while no other member is known.
-    boost::asio::awaitable<void> searchMembers()
-    {
-        const std::optional<std::vector<RegisteredInstance>> registered = co_await m_register.read();
-        if (registered) {
-            for (const std::string &address : otherAddresses(*registered, m_core.settings.peerAddress)) {
-                m_members->addSeed(address);
-            }
-        }
-    }
-
-    void searchMembersWhileAlone(base::TimePoint now)
-    {
-        if (m_members->memberCount(now) > 1) {
-            m_nextSearch = now + s_searchPause;
-            m_searchPause = s_searchPause;
-        } else if (now >= m_nextSearch) {
-            m_searchPause = std::min(m_searchPause * 2, s_maximumSearchPause);
-            m_nextSearch = now + base::jittered(m_searchPause, 0.5, m_core.random);
-            spawnOnce(
-                m_core,
-                "search_members",
-                [this]() {
-                    return searchMembers();
-                },
-                [] {});
-        }
-    }
-
-    boost::asio::awaitable<void> sleep(base::Duration duration)
-    {
-        boost::system::error_code ignored; // the timer is not cancelled
-        m_joinTimer.expires_after(duration);
-        co_await m_joinTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        line.number("registered", static_cast<std::int64_t>(joined.registered.size()));
+        m_core.log.write(line, now, true);
     }
 
     void applyReport(const FleetReport &report)
     {
         const base::TimePoint now = http::now();
-        for (const ingress::LoadObservation &load : report.loads) {
-            m_core.upstreamTable.applyLoadObservation(load, now);
-        }
-        for (const std::uint64_t run : report.leavingRuns) {
-            m_core.upstreamTable.applyLeavingNotice(run, now);
-        }
-        for (const ingress::ConnectionLoadLimit &limit : report.connectionLimits) {
-            m_core.upstreamTable.applyConnectionLoadLimit(limit, now);
-        }
+        applyLoadReport(m_core, report, now);
         for (const KnownTable &known : report.tables) {
             forEachTable([&](auto &table) {
                 table.heard(known, report.peerAddress, now);
@@ -325,11 +234,7 @@
             return;
         }
         m_nextReport = now + s_reportPeriod;
-        FleetReport report;
-        report.loads =
-            m_core.upstreamTable.takeLoadObservations(m_core.upstreamTable.speedsReported() ? s_maximumLoadsWithSpeed : s_maximumLoadsPerReport, now);
-        report.leavingRuns = m_core.upstreamTable.leavingNotices(s_maximumLeavingPerReport, now);
-        report.connectionLimits = m_core.upstreamTable.connectionLoadLimits(s_maximumLimitsPerReport, now);
+        FleetReport report = takeLoadReport(m_core, now);
         bool news = !report.leavingRuns.empty();
         bool reader = false;
         forEachTable([&](auto &table) {
@@ -378,7 +283,7 @@
             if (!m_settled) {
                 updateReaders();
             }
-            searchMembersWhileAlone(now);
+            m_join.searchWhileAlone(*m_members, now);
             sendReports(now);
             m_quotaLink.tick(*m_members, now);
             forEachTable([now](auto &table) {
@@ -467,7 +372,7 @@
     std::uint64_t m_seed;
     EntryCore m_core;
     typename Platform::Store m_store;
-    FleetRegister<typename Platform::Store> m_register;
+    FleetJoin<typename Platform::Store> m_join;
     std::unique_ptr<MemberLink> m_members; ///< null until joined
     FollowedTable<typename Platform::Store, OperatorRows<Platform>> m_operator;
     FollowedTable<typename Platform::Store, UpstreamRows<Platform>> m_upstreams;
@@ -475,7 +380,6 @@
     base::IncarnationId m_incarnation;
     QuotaLink m_quotaLink;
     boost::asio::steady_timer m_timer;
-    boost::asio::steady_timer m_joinTimer;
     boost::asio::signal_set m_signals;
     http::OperatorServer m_lookups;
     http::OperatorServer m_readiness;
@@ -487,8 +391,6 @@
     base::TimePoint m_nextReport;
     std::vector<feed::ReaderCandidate> m_registered; ///< instances of this failure domain in the register at the join
     base::TimePoint m_joinedAt;
-    base::TimePoint m_nextSearch; ///< earliest next search of the register while no other member is known
-    base::Duration m_searchPause = s_searchPause;
     bool m_settled = false; ///< the members are known well enough to choose readers from them
 };
 
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -1,10 +1,8 @@
-// Ranking of upstreams by key, and the choice among them by estimated load.
+// The choice among the ranked upstreams of a request: regions, warm-up, queues and overload control.
 
 #include "trefoilstile/ingress/placement.hpp"
 
 #include <algorithm>
-#include <cmath>
-#include <optional>
 #include <utility>
 
 #include "trefoilstile/base/random.hpp"
@@ -156,226 +154,155 @@
     return service.warmUp[&upstream].tryTake(description->second.warmUpRequestsPerSecond, m_members, static_cast<std::size_t>(rank), now);
 }
 
-Placement::Candidate Placement::candidate(const PlacementRequest &request, const UpstreamTable::Pointer &upstream, std::size_t rank, base::TimePoint now) const
-{
-    Candidate result;
-    result.upstream = &upstream;
-    result.rank = rank;
-    result.load = m_upstreams.load(*upstream, now);
-    result.slots = static_cast<double>(std::max(1U, upstream->report.slots));
-    result.warm = upstream->warmKeys.contains(request.key, now);
-    // The actual load varies around the estimate like Poisson arrivals, with a variance equal to the mean. The expected excess
-    // over the slots is approximated by a smooth function that is exact far from the slots and at them.
-    const double excess = result.load + 1 - result.slots;
-    constexpr double spread = 0.64; // gives 0.4 standard deviations where the load equals the slots
-    const double waiting = 0.5 * (excess + std::sqrt(excess * excess + spread * result.load));
-    const double service = upstream->serviceSeconds > 0 ? upstream->serviceSeconds : base::toSeconds(m_options.assumedServiceTime);
-    const double speed = m_upstreams.speedFactor(*upstream, now);
-    result.wait = base::fromSeconds(waiting / result.slots * service * speed);
-    const double cold = rank == 0 || result.warm ? 0.0 : rank < m_options.coldProbability.size() ? m_options.coldProbability[rank] : 1.0;
-    const auto coldWork = std::chrono::duration_cast<base::Duration>(cold * m_options.coldCost * speed * request.route.latencyObjective);
-    result.cost = result.wait + coldWork + base::fromSeconds(service * (speed - 1));
-    return result;
-}
-
-void Placement::refreshGroups(std::string_view service, ServiceState &serviceState)
+bool Placement::hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const
 {
-    if (serviceState.groupsVersion == m_upstreams.version()) {
-        return;
+    const bool cold = candidate.rank != 0 && !candidate.warm;
+    const double coldLimit = controlled.control == nullptr ? m_options.coldUtilizationLimit : m_options.overload.coldUtilizationLimit;
+    if (cold && candidate.load + 1 > candidate.slots * coldLimit) {
+        return false;
     }
-    serviceState.groupsVersion = m_upstreams.version();
-    serviceState.groups.clear();
-    for (const UpstreamTable::Pointer &upstream : m_upstreams.ofService(service)) {
-        if (m_upstreams.usable(*upstream)) {
-            RegionGroup &group = serviceState.groups[upstream->region];
-            group.hashes.push_back(upstream->hash);
-            group.upstreams.push_back(upstream);
-        }
+    if (controlled.control != nullptr && controlled.control->price() > 0) {
+        return controlled.control->queueLimit(controlled.request->cost, cold).allows(candidate.load, candidate.slots, candidate.wait);
     }
+    const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
+    const auto maximumWait = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
+    return (cold || candidate.load + 1 <= candidate.slots * (1 + queuePerSlot)) && candidate.wait <= maximumWait;
 }
 
-Placement::Ranking Placement::ranked(const PlacementRequest &request, std::span<const RegionGroup *const> groups, std::size_t limit, base::TimePoint now) const
+bool Placement::take(Decision &decision, const Candidate &candidate, PlacementReason reason)
 {
-    std::vector<std::pair<std::uint64_t, const UpstreamTable::Pointer *>> weighted;
-    for (const RegionGroup *group : groups) {
-        for (std::size_t i = 0; i < group->hashes.size(); ++i) {
-            weighted.emplace_back(base::mixBits(request.key ^ group->hashes[i]), &group->upstreams[i]);
-        }
-    }
-    const std::size_t total = weighted.size();
-    const auto kept = weighted.begin() + static_cast<std::ptrdiff_t>(std::min(limit, total));
-    std::partial_sort(weighted.begin(), kept, weighted.end(), [](const auto &left, const auto &right) {
-        return left.first > right.first;
-    });
-    weighted.erase(kept, weighted.end());
-    Ranking ranking;
-    for (const auto &[weight, upstream] : weighted) {
-        if (m_upstreams.quiet(**upstream, now)) {
-            ranking.quietUntil = std::min(ranking.quietUntil, (*upstream)->quietUntil);
-        } else if (std::find(request.excluded.begin(), request.excluded.end(), upstream->get()) == request.excluded.end()) {
-            const bool avoided = m_upstreams.avoided(**upstream, now) && !m_upstreams.trialDue(**upstream, now);
-            (avoided ? ranking.avoided : ranking.inUse).push_back(upstream);
-        }
+    if (!admitsDuringWarmUp(decision.service, **candidate.upstream, decision.configuration, decision.now)) {
+        return false;
     }
-    const bool sufficient = ranking.inUse.size() >= m_options.minimumCandidates || total <= limit;
-    return sufficient ? ranking : ranked(request, groups, total, now);
+    decision.result.outcome = PlacementOutcome::Chosen;
+    decision.result.reason = reason;
+    decision.result.upstream = *candidate.upstream;
+    decision.result.load = candidate.load;
+    decision.result.wait = candidate.wait;
+    return true;
 }
 
-std::vector<Placement::Candidate> Placement::candidates(
-    const PlacementRequest &request, std::span<const UpstreamTable::Pointer *const> upstreams, base::TimePoint now) const
+bool Placement::spill(Decision &decision, std::span<const RegionGroup *const> others)
 {
-    std::vector<Candidate> result;
-    result.reserve(upstreams.size());
-    for (const UpstreamTable::Pointer *upstream : upstreams) {
-        result.push_back(candidate(request, *upstream, result.size(), now));
+    const Candidate &local = decision.local.front();
+    const auto threshold = std::chrono::duration_cast<base::Duration>(m_options.spillThreshold * decision.request.route.latencyObjective);
+    if (local.cost <= threshold) {
+        return false;
     }
-    return result;
+    const Ranking ranking = ranked(decision.request, others, m_options.candidateLimit, decision.now);
+    const std::vector<Candidate> remote = candidates(decision.request, ranking.inUse, decision.now);
+    const auto best = std::min_element(remote.begin(), remote.end(), lowerCost);
+    const bool better = best != remote.end() && best->load + 1 <= best->slots && best->cost < local.cost;
+    return better && decision.service.spill.tryTake(decision.now) && take(decision, *best, PlacementReason::Spill);
 }
 
-Placement::ControlledRequest Placement::underControl(ServiceState &service, const PlacementRequest &request, const Configuration &configuration)
+void Placement::admit(Decision &decision)
 {
-    const bool automatic = !configuration.accounts.empty() || service.reportsSpeed;
-    const bool controlled = m_options.overloadMode == OverloadMode::On || (m_options.overloadMode == OverloadMode::Auto && automatic);
-    ControlledRequest result{nullptr, {request.route, request.account, request.key, {}}, {}, request.excluded.empty()};
-    if (controlled) {
-        result.control = &service.overload;
-        result.request.cost = requestCost(request.route, request.account, request.timeLeft, m_options.overload.cost);
+    const PlacementRequest &request = decision.request;
+    const bool automatic = !decision.configuration.accounts.empty() || decision.service.reportsSpeed;
+    if (m_options.overloadMode != OverloadMode::On && (m_options.overloadMode != OverloadMode::Auto || !automatic)) {
+        return;
     }
-    return result;
-}
-
-bool Placement::hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const
-{
-    const bool cold = candidate.rank != 0 && !candidate.warm;
-    const double coldLimit = controlled.control == nullptr ? m_options.coldUtilizationLimit : m_options.overload.coldUtilizationLimit;
-    if (cold && candidate.load + 1 > candidate.slots * coldLimit) {
-        return false;
+    ControlledRequest &controlled = decision.controlled;
+    controlled.control = &decision.service.overload;
+    const RequestCost cost = requestCost(request.route, request.account, request.timeLeft, m_options.overload.cost);
+    controlled.request.emplace(OverloadControl::Request{request.route, request.account, request.key, cost});
+    controlled.counted = request.excluded.empty();
+    if (!controlled.counted) {
+        return;
     }
-    if (controlled.control != nullptr && controlled.control->price() > 0) {
-        return controlled.control->queueLimit(controlled.request.cost, cold).allows(candidate.load, candidate.slots, candidate.wait);
+    double loadPerSlot = 0;
+    for (const Candidate &candidate : decision.local) {
+        loadPerSlot += candidate.load / candidate.slots;
     }
-    const double queuePerSlot = std::max(m_options.minimumQueuePerSlot, m_options.queuePerSlot - m_options.queuePerSlotStep * request.route.priority);
-    const auto maximumWait = std::chrono::duration_cast<base::Duration>(request.timeLeft * m_options.deadlineShare);
-    return (cold || candidate.load + 1 <= candidate.slots * (1 + queuePerSlot)) && candidate.wait <= maximumWait;
+    controlled.admission = controlled.control->arrived(*controlled.request, loadPerSlot / static_cast<double>(decision.local.size()), decision.now);
+    decision.result.refusal = controlled.admission.refusal;
 }
 
-PlacementResult Placement::choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now)
+bool Placement::takeLocal(Decision &decision)
 {
-    PlacementResult result;
-    ServiceState &service = state(request.service);
-    refreshGroups(request.service, service);
-    const std::string_view planned = service.split.regionOf(splitPoint(request.key));
-    std::vector<const RegionGroup *> plannedGroups; // at most one
-    std::vector<const RegionGroup *> otherGroups;
-    for (const auto &[region, group] : service.groups) {
-        if (mayServe(request, region)) {
-            (region == planned ? plannedGroups : otherGroups).push_back(&group);
-        }
-    }
-    Ranking ranking = ranked(request, plannedGroups, m_options.candidateLimit, now);
-    if (ranking.inUse.empty()) {
-        // If the planned region has no upstream in use, all regions are treated as one group. If all upstreams are avoided, an
-        // avoided one is better than none.
-        plannedGroups.insert(plannedGroups.end(), otherGroups.begin(), otherGroups.end());
-        otherGroups.clear();
-        ranking = ranked(request, plannedGroups, m_options.candidateLimit, now);
-        if (ranking.inUse.empty()) {
-            ranking.inUse = std::move(ranking.avoided);
-        }
-    }
-    if (ranking.inUse.empty()) {
-        if (ranking.quietUntil != base::TimePoint::max()) {
-            // Those that could serve the request have all asked for a pause, so no upstream has room before the first pause ends.
-            result.outcome = PlacementOutcome::NoRoom;
-            result.retryAfter = std::max<base::Duration>(m_options.minimumRetryAfter, ranking.quietUntil - now);
-        }
-        return result;
-    }
-    service.spill.requestPlaced(now);
-    std::vector<Candidate> local = candidates(request, ranking.inUse, now);
-    const auto lowerCost = [](const Candidate &left, const Candidate &right) {
-        return left.cost < right.cost;
-    };
-    std::stable_sort(local.begin(), local.end(), lowerCost);
-    result.plannedRegion = planned;
-    result.candidates = local.size();
-    result.leastLoadPerSlot = minimumOf(local, [](const Candidate &candidate) {
-        return candidate.load / candidate.slots;
-    });
-    const auto tryChoose = [&](const Candidate &candidate, PlacementReason reason) {
-        if (!admitsDuringWarmUp(service, **candidate.upstream, configuration, now)) {
+    const PlacementRequest &request = decision.request;
+    const auto accept = [&](const Candidate &candidate) {
+        const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
+        if (!take(decision, candidate, reason)) {
             return false;
         }
-        result.outcome = PlacementOutcome::Chosen;
-        result.reason = reason;
-        result.upstream = *candidate.upstream;
-        result.load = candidate.load;
-        result.wait = candidate.wait;
+        if (decision.controlled.counted) {
+            decision.controlled.control->placed(*decision.controlled.request, decision.controlled.admission);
+        }
         return true;
     };
-    const auto spillThreshold = std::chrono::duration_cast<base::Duration>(m_options.spillThreshold * request.route.latencyObjective);
-    if (local.front().cost > spillThreshold) {
-        const std::vector<Candidate> remote = candidates(request, ranked(request, otherGroups, m_options.candidateLimit, now).inUse, now);
-        const auto best = std::min_element(remote.begin(), remote.end(), lowerCost);
-        const bool better = best != remote.end() && best->load + 1 <= best->slots && best->cost < local.front().cost;
-        if (better && service.spill.tryTake(now) && tryChoose(*best, PlacementReason::Spill)) {
-            return result;
-        }
-    }
-    ControlledRequest controlled = underControl(service, request, configuration);
-    const bool counted = controlled.control != nullptr && controlled.counted;
-    if (counted) {
-        double loadPerSlot = 0;
-        for (const Candidate &candidate : local) {
-            loadPerSlot += candidate.load / candidate.slots;
-        }
-        controlled.admission = controlled.control->arrived(controlled.request, loadPerSlot / static_cast<double>(local.size()), now);
-        result.refusal = controlled.admission.refusal;
-    }
     const auto restrained = [&](const Candidate &candidate) {
         const Upstream &upstream = **candidate.upstream;
-        return m_upstreams.connectionRestrained(upstream, request.connectionLimit, now) && !(request.reusable && request.reusable(upstream));
+        return m_upstreams.connectionRestrained(upstream, request.connectionLimit, decision.now) && !(request.reusable && request.reusable(upstream));
     };
     const auto connectionCost = std::chrono::duration_cast<base::Duration>(m_options.connectionCost * request.route.latencyObjective);
-    const auto accept = [&](const Candidate &candidate) {
-        const PlacementReason reason = candidate.rank == 0 ? PlacementReason::First : candidate.warm ? PlacementReason::Warm : PlacementReason::Cold;
-        if (!tryChoose(candidate, reason)) {
-            return false;
-        }
-        if (counted) {
-            controlled.control->placed(controlled.request, controlled.admission);
-        }
-        return true;
-    };
     std::vector<const Candidate *> needConnections; // have room, but a new connection would probably be reset
-    for (const Candidate &candidate : local) {
-        const bool dearer = !needConnections.empty() && candidate.cost > needConnections.front()->cost + connectionCost;
-        if (result.refusal != RefusalReason::None || dearer) {
+    for (const Candidate &candidate : decision.local) {
+        if (!needConnections.empty() && candidate.cost > needConnections.front()->cost + connectionCost) {
             break;
         }
-        if (!hasRoom(candidate, request, controlled)) {
+        if (!hasRoom(candidate, request, decision.controlled)) {
             continue;
         }
         if (restrained(candidate)) {
             needConnections.push_back(&candidate);
         } else if (accept(candidate)) {
-            return result;
-        }
-    }
-    for (const Candidate *candidate : needConnections) {
-        if (accept(*candidate)) {
-            return result;
+            return true;
         }
     }
+    return std::any_of(needConnections.begin(), needConnections.end(), [&](const Candidate *candidate) {
+        return accept(*candidate);
+    });
+}
+
+void Placement::refuse(Decision &decision) const
+{
+    PlacementResult &result = decision.result;
     result.outcome = PlacementOutcome::NoRoom;
-    result.retryAfter = std::max(m_options.minimumRetryAfter, minimumOf(local, [](const Candidate &candidate) {
-        return candidate.wait;
-    }));
-    if (counted) {
+    const ControlledRequest &controlled = decision.controlled;
+    if (controlled.counted) {
         if (result.refusal == RefusalReason::None) {
             result.refusal = RefusalReason::NoRoom;
         }
-        result.retryAfter = controlled.control->refused(controlled.request, controlled.admission, now);
+        result.retryAfter = controlled.control->refused(*controlled.request, controlled.admission, decision.now);
+    } else {
+        result.retryAfter = std::max(m_options.minimumRetryAfter, minimumOf(decision.local, [](const Candidate &candidate) {
+            return candidate.wait;
+        }));
+    }
+}
+
+PlacementResult Placement::choose(const PlacementRequest &request, const Configuration &configuration, base::TimePoint now)
+{
+    ServiceState &service = state(request.service);
+    refreshGroups(request.service, service);
+    Decision decision{request, configuration, now, service, {}, {}, {}};
+    PlacementResult &result = decision.result;
+    const std::string_view planned = service.split.regionOf(splitPoint(request.key));
+    const RankedRegions regions = rankRegions(request, service, planned, now);
+    if (regions.ranking.inUse.empty()) {
+        if (regions.ranking.quietUntil != base::TimePoint::max()) {
+            // Those that could serve the request have all asked for a pause, so no upstream has room before the first pause ends.
+            result.outcome = PlacementOutcome::NoRoom;
+            result.retryAfter = std::max<base::Duration>(m_options.minimumRetryAfter, regions.ranking.quietUntil - now);
+        }
+        return result;
+    }
+    service.spill.requestPlaced(now);
+    decision.local = candidates(request, regions.ranking.inUse, now);
+    std::stable_sort(decision.local.begin(), decision.local.end(), lowerCost);
+    result.plannedRegion = planned;
+    result.candidates = decision.local.size();
+    result.leastLoadPerSlot = minimumOf(decision.local, [](const Candidate &candidate) {
+        return candidate.load / candidate.slots;
+    });
+    if (spill(decision, regions.others)) {
+        return result;
+    }
+    admit(decision);
+    if (result.refusal != RefusalReason::None || !takeLocal(decision)) {
+        refuse(decision);
     }
     return result;
 }
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -181,6 +181,17 @@
     return std::max<std::size_t>(minimum, description->second.maximumConnections / std::max<std::size_t>(1, members.value()));
 }
 
+void EntryCore::setGauges()
+{
+    metrics.set("trefoilstile_configuration_version", {}, static_cast<double>(configuration.version));
+    metrics.set("trefoilstile_upstreams", {}, static_cast<double>(upstreamTable.size()));
+    metrics.set("trefoilstile_members", {}, static_cast<double>(members.value()));
+    metrics.set("trefoilstile_caller_connections", {}, static_cast<double>(sessions));
+    metrics.set("trefoilstile_requests_in_service", {}, static_cast<double>(requests));
+    metrics.set("trefoilstile_response_bytes_held", {}, static_cast<double>(responseBudget->held));
+    metrics.set("trefoilstile_log_lines_dropped", {}, static_cast<double>(log.dropped()));
+}
+
 void EntryCore::advance(base::TimePoint now)
 {
     upstreamTable.advance(now);
