End the connections of FeedClient when it is destroyed

Cause: a channel owned its connection, and the handlers of the connection owned the channel. Only the end of the connection broke this cycle, so an idle connection kept itself and its channel alive after FeedClient and the event loop had been destroyed (848 bytes in 6 allocations in feed_client_test, LeakSanitizer). If the event loop went on, the handlers would have used the destroyed client, and a pending request would not have ended.

Change: only the client owns channels; timers and handlers of connections refer to them weakly. The destructor closes all connections and calls the handlers of pending requests without a response.

--- a/include/trefoilstile/daemon/feed_client.hpp
+++ b/include/trefoilstile/daemon/feed_client.hpp
@@ -28,6 +28,11 @@
 
     FeedClient(boost::asio::io_context &context, peer::EnvelopeCodec &codec);
 
+    /// Closes all connections; the handlers of pending requests are called without a response.
+    ~FeedClient();
+    FeedClient(const FeedClient &) = delete;
+    FeedClient &operator=(const FeedClient &) = delete;
+
     /// Sends a request. The handler is called exactly once, never from within this call. Requests to the same address for the
     /// same table that are pending at the same time have connections of their own.
     void request(const std::string &address, peer::FeedRequest request, base::Duration timeout, Handler handler);
--- a/src/daemon/feed_client.cpp
+++ b/src/daemon/feed_client.cpp
@@ -45,6 +45,17 @@
 {
 }
 
+FeedClient::~FeedClient()
+{
+    for (const auto &[key, channel] : std::exchange(m_channels, {})) {
+        if (const std::shared_ptr<FrameConnection> connection = channel->connection) {
+            connection->close(); // its end handler finishes the request
+        } else {
+            channel->finish(std::nullopt);
+        }
+    }
+}
+
 void FeedClient::request(const std::string &address, peer::FeedRequest request, base::Duration timeout, Handler handler)
 {
     // A channel has one pending request. An instance that follows a table may at the same time catch up with it from the same address.
@@ -60,18 +71,23 @@
     const std::shared_ptr<Channel> channel = found->second;
     channel->handler = std::move(handler);
     channel->timer.expires_after(timeout);
-    channel->timer.async_wait([channel](const boost::system::error_code &error) {
-        if (error) {
+    // Pending operations do not own the channel: it is in `m_channels` while its request is pending, and ends with the client.
+    const std::weak_ptr<Channel> weak = channel;
+    channel->timer.async_wait([weak](const boost::system::error_code &error) {
+        const std::shared_ptr<Channel> pending = weak.lock();
+        if (error || !pending) {
             return; // the request has ended
         }
-        if (channel->connection) {
-            channel->connection->close(); // its end handler finishes the request
+        if (pending->connection) {
+            pending->connection->close(); // its end handler finishes the request
         } else {
-            channel->finish(std::nullopt);
+            pending->finish(std::nullopt);
         }
     });
-    boost::asio::post(m_context, [this, channel, key, request = std::move(request)] {
-        send(channel, key, request);
+    boost::asio::post(m_context, [this, weak, key, request = std::move(request)] {
+        if (const std::shared_ptr<Channel> pending = weak.lock()) {
+            send(pending, key, request);
+        }
     });
 }
 
@@ -85,18 +101,24 @@
             return;
         }
         const auto [ip, port] = parseEndpoint(address);
+        // The channel owns the connection, so that the handlers of the connection must not own the channel.
         channel->connection = std::make_shared<FrameConnection>(
             boost::asio::ip::tcp::socket(m_context),
             s_idleTimeout,
-            [this, channel](FrameConnection &, std::string_view bytes) {
-                return receive(*channel, bytes);
+            [this, weak = std::weak_ptr(channel)](FrameConnection &, std::string_view bytes) {
+                const std::shared_ptr<Channel> open = weak.lock();
+                return open && receive(*open, bytes);
             },
-            [this, channel, key] {
-                channel->connection.reset();
-                if (const auto found = m_channels.find(key); found != m_channels.end() && found->second == channel) {
+            [this, weak = std::weak_ptr(channel), key] {
+                const std::shared_ptr<Channel> closed = weak.lock();
+                if (!closed) {
+                    return;
+                }
+                closed->connection.reset();
+                if (const auto found = m_channels.find(key); found != m_channels.end() && found->second == closed) {
                     m_channels.erase(found);
                 }
-                channel->finish(std::nullopt);
+                closed->finish(std::nullopt);
             });
         channel->connection->startWith(boost::asio::ip::tcp::endpoint(ip, port), std::move(frame));
     } catch (const base::Error &error) {
--- a/src/daemon/feed_client_test.cpp
+++ b/src/daemon/feed_client_test.cpp
@@ -3,9 +3,12 @@
 #include "trefoilstile/daemon/feed_client.hpp"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "trefoilstile/daemon/peer_network.hpp"
@@ -32,7 +35,7 @@
 
     Pair()
     {
-        client.start();
+        client->start();
         server.start();
     }
 
@@ -42,7 +45,7 @@
         peer::FeedRequest asked;
         asked.table = "servers";
         asked.after = after;
-        client.requestFeed(server.address(), std::move(asked), timeout, [this](std::optional<peer::FeedResponse> response) {
+        client->requestFeed(server.address(), std::move(asked), timeout, [this](std::optional<peer::FeedResponse> response) {
             versions.push_back(response ? response->version : 0);
         });
     }
@@ -57,7 +60,11 @@
     std::vector<std::pair<peer::FeedRequest, std::function<void(peer::FeedResponse)>>> ignored;
     std::vector<std::pair<peer::FeedRequest, std::function<void(peer::FeedResponse)>>> received;
     std::vector<std::uint64_t> versions;
-    PeerNetwork client{context, "127.0.0.1:0", {"a key of the test environment", "test", "client", base::IncarnationId{1}}, handlers(ignored)};
+    std::optional<PeerNetwork> client{std::in_place,
+        context,
+        "127.0.0.1:0",
+        peer::CodecSettings{"a key of the test environment", "test", "client", base::IncarnationId{1}},
+        handlers(ignored)};
     PeerNetwork server{context, "127.0.0.1:0", {"a key of the test environment", "test", "server", base::IncarnationId{2}}, handlers(received)};
 };
 
@@ -96,6 +103,26 @@
     BOOST_TEST(pair.versions.size() == 3U);
 }
 
+// Guards against connections that keep themselves alive after the client has been destroyed, and against a request whose handler is not
+// called then. `sent` is false for a request whose connection has not been opened.
+BOOST_DATA_TEST_CASE(destructionEndsPendingRequests, boost::unit_test::data::make({true, false}), sent)
+{
+    Pair pair;
+    pair.request(1, 2s);
+    if (sent) {
+        pair.run(50ms);
+    }
+    pair.client.reset();
+    BOOST_REQUIRE((pair.versions == std::vector<std::uint64_t>{0}));
+    BOOST_REQUIRE_EQUAL(pair.received.size(), sent ? 1U : 0U);
+    for (auto &[request, reply] : pair.received) {
+        reply(answer(11));
+    }
+    pair.run(100ms);
+    BOOST_TEST(pair.versions.size() == 1U);
+    BOOST_TEST(pair.received.size() == (sent ? 1U : 0U));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::daemon
