Count refusals by cause and shares by account in the emulator of overload

The tables of overload_bench did not say why tries were refused, how the accounts that get least fare, or what overload control changes: variants could not turn it on.

- Variants have the options overloadMode and overload.*, and speed_reported.
- New ways to choose an upstream: power of two choices, and the same among the two upstreams ranked first for the key.
- Tables count the refused tries by cause (price, early, no room, shed) and have a table of the mean, the worst tenth and the worst account.
- New experiments a-overload, b-overload, a-choice, b-choice.

The cases refusedTriesAreCountedByCause and waysOfChoosingDiffer and the new checks of the summary use members that do not exist without the change.

--- a/bench/overload/emulation.cpp
+++ b/bench/overload/emulation.cpp
@@ -66,6 +66,10 @@
         return std::make_unique<ChooserOf<placement::RoundRobin>>(table, region);
     case PolicyName::BoundedLoadHash:
         return std::make_unique<ChooserOf<placement::BoundedLoadHash>>(table, region);
+    case PolicyName::PowerOfTwoChoices:
+        return std::make_unique<ChooserOf<placement::PowerOfTwoChoices>>(table, region, instanceHash);
+    case PolicyName::PowerOfTwoByKey:
+        return std::make_unique<ChooserOf<placement::PowerOfTwoByKey>>(table, region);
     case PolicyName::Placement:
         break;
     }
@@ -83,6 +87,7 @@
 Emulation::Emulation(const Deployment &deployment, const Day &day, const Variant &variant, std::uint64_t seed)
     : m_deployment(deployment)
     , m_day(day)
+    , m_speedReported(day.machines.reported && variant.speedReported)
     , m_random(base::mixBits(seed))
     , m_start(m_clock.now())
 {
@@ -102,7 +107,7 @@
     for (const placement::EmulatedService &service : m_deployment.services) {
         m_configuration.services[service.name].name = service.name;
     }
-    m_result.groups.push_back({"all", {}});
+    m_result.groups.push_back({"all", {}, {}});
     for (const Kind &kind : m_deployment.kinds) {
         ingress::Route route;
         route.name = kind.name;
@@ -114,9 +119,10 @@
         route.maximumAttempts = 2;
         route.shares = {{kind.service, 1}};
         m_configuration.routes.push_back(route);
-        m_result.groups.push_back({kind.name, {}});
+        m_result.groups.push_back({kind.name, {}, {}});
     }
     const Accounts &accounts = m_deployment.accounts;
+    m_result.accounts.resize(accounts.count);
     double rest = 1;
     for (const double share : accounts.largeShares) {
         rest -= share;
@@ -136,16 +142,16 @@
         m_accountShares.push_back(sum += share);
     }
     if (accounts.count > 0) {
-        m_result.groups.push_back({"large accounts", {}});
-        m_result.groups.push_back({"small accounts", {}});
+        m_result.groups.push_back({"large accounts", {}, {}});
+        m_result.groups.push_back({"small accounts", {}, {}});
         if (m_day.hot) {
-            m_result.groups.push_back({"hot account", {}});
+            m_result.groups.push_back({"hot account", {}, {}});
         }
     }
     if (m_day.conduct.impatientPart > 0) {
         m_conductGroups = m_result.groups.size();
-        m_result.groups.push_back({"patient callers", {}});
-        m_result.groups.push_back({"impatient callers", {}});
+        m_result.groups.push_back({"patient callers", {}, {}});
+        m_result.groups.push_back({"impatient callers", {}, {}});
     }
 }
 
--- a/bench/overload/emulation.hpp
+++ b/bench/overload/emulation.hpp
@@ -88,8 +88,24 @@
     void send(const RequestPointer &request, const ingress::PlacementResult &placed);
     void take(
         const RequestPointer &request, const ingress::UpstreamTable::Pointer &upstream, base::Duration took, double load, ingress::AttemptVerdict verdict);
-    void refuse(const RequestPointer &request, base::Duration retryAfter);
+    void refuse(const RequestPointer &request, base::Duration retryAfter, Refusal cause);
     void finish(const Request &request, Outcome outcome);
+    /// Calls the function with each group of the result that the request belongs to; none for requests that are not counted.
+    template<typename Apply>
+    void forGroups(const Request &request, Apply apply)
+    {
+        if (request.sentAt < m_countFrom) {
+            return;
+        }
+        apply(m_result.groups[0]);
+        apply(m_result.groups[1 + request.kind]);
+        if (request.accountGroup != 0) {
+            apply(m_result.groups[request.accountGroup]);
+        }
+        if (m_conductGroups != 0) {
+            apply(m_result.groups[m_conductGroups + (request.impatient ? 1 : 0)]);
+        }
+    }
 
     double seconds() const
     {
@@ -98,6 +114,7 @@
 
     const Deployment &m_deployment;
     const Day &m_day;
+    bool m_speedReported; ///< by the upstreams, of their machine
     base::SplitMix64 m_random; ///< for draws that depend on the variant's decisions
     placement::VirtualClock m_clock;
     base::TimePoint m_start;
--- a/bench/overload/emulation_requests.cpp
+++ b/bench/overload/emulation_requests.cpp
@@ -29,6 +29,20 @@
     }
 }
 
+Refusal causeOf(const ingress::PlacementResult &placed)
+{
+    switch (placed.refusal) {
+    case ingress::RefusalReason::Price:
+        return Refusal::Price;
+    case ingress::RefusalReason::Early:
+        return Refusal::Early;
+    case ingress::RefusalReason::None:
+    case ingress::RefusalReason::NoRoom:
+        break;
+    }
+    return Refusal::NoRoom;
+}
+
 } // namespace
 
 void Emulation::arriveNext(Stream &stream)
@@ -99,7 +113,7 @@
         return;
     }
     if (request->tried.size() >= s_attempts) {
-        refuse(request, s_defaultRetryAfter);
+        refuse(request, s_defaultRetryAfter, Refusal::Shed);
         return;
     }
     const Kind &kind = m_deployment.kinds[request->kind];
@@ -110,7 +124,7 @@
         send(request, placed);
     } else {
         const bool noRoom = placed.outcome == ingress::PlacementOutcome::NoRoom;
-        refuse(request, noRoom ? base::jittered(placed.retryAfter, s_retryAfterSpread, m_random) : s_defaultRetryAfter);
+        refuse(request, noRoom ? base::jittered(placed.retryAfter, s_retryAfterSpread, m_random) : s_defaultRetryAfter, causeOf(placed));
     }
 }
 
@@ -129,7 +143,7 @@
             ++m_result.served;
             m_result.cold += cold ? 1 : 0;
         }
-        if (m_day.machines.reported) {
+        if (m_speedReported) {
             setSpeed(reported, emulated.slowness);
         }
         m_clock.at(m_clock.now() + path, [this, request, upstream, sent, load, verdict, reported] {
@@ -162,8 +176,11 @@
     }
 }
 
-void Emulation::refuse(const RequestPointer &request, base::Duration retryAfter)
+void Emulation::refuse(const RequestPointer &request, base::Duration retryAfter, Refusal cause)
 {
+    forGroups(*request, [cause](Group &group) {
+        ++group.refusedTries[static_cast<std::size_t>(cause)];
+    });
     if (request->mayHaveRun) {
         finish(*request, Outcome::Failed); // 502: only a request that has not run may be refused
         return;
@@ -195,16 +212,15 @@
     const auto second = static_cast<std::size_t>(base::toSeconds(request.sentAt - m_start));
     m_result.seconds.resize(std::max(m_result.seconds.size(), second + 1));
     m_result.seconds[second].add(outcome);
-    if (request.sentAt < m_countFrom) {
+    forGroups(request, [outcome](Group &group) {
+        group.tally.add(outcome);
+    });
+    if (request.account == nullptr || request.sentAt < m_countFrom) {
         return;
     }
-    m_result.groups[0].tally.add(outcome);
-    m_result.groups[1 + request.kind].tally.add(outcome);
-    if (request.accountGroup != 0) {
-        m_result.groups[request.accountGroup].tally.add(outcome);
-    }
-    if (m_conductGroups != 0) {
-        m_result.groups[m_conductGroups + (request.impatient ? 1 : 0)].tally.add(outcome);
+    const auto account = static_cast<std::size_t>(request.account - m_configuration.accounts.data());
+    if (!m_day.hot || account != m_day.hot->account) {
+        m_result.accounts[account].add(outcome);
     }
 }
 
--- a/bench/overload/load.hpp
+++ b/bench/overload/load.hpp
@@ -91,11 +91,12 @@
     double brokenPart{}; ///< of the attempts whose connection breaks after the work
 };
 
-enum class PolicyName : std::uint8_t { Placement, LeastLoad, RoundRobin, BoundedLoadHash };
+enum class PolicyName : std::uint8_t { Placement, LeastLoad, RoundRobin, BoundedLoadHash, PowerOfTwoChoices, PowerOfTwoByKey };
 
 struct Variant {
     std::string name;
     PolicyName policy = PolicyName::Placement;
+    bool speedReported = true; ///< false: upstreams do not report the speed of their machine, whatever the day says
     ingress::PlacementOptions placement;
     ingress::UpstreamTableOptions upstreams;
 };
--- a/bench/overload/overload_bench_test.cpp
+++ b/bench/overload/overload_bench_test.cpp
@@ -141,6 +141,45 @@
     BOOST_TEST(std::abs(sent(hot, "small accounts") / sent(usual, "small accounts") - 1) < 0.05);
     BOOST_TEST(std::abs(sent(hot, "all") / sent(usual, "all") - (1 + 0.2 * 5)) < 0.05);
     BOOST_TEST(sent(hot, "large accounts") == 0);
+    std::uint64_t others = 0;
+    for (const Tally &account : hot.accounts) {
+        others += account.sent();
+    }
+    BOOST_TEST(hot.accounts.size() == 10);
+    BOOST_TEST(others == groupNamed(hot, "small accounts").sent());
+}
+
+// Guards against tries whose refusal is counted for another cause, and against an option of a variant that has no effect.
+BOOST_AUTO_TEST_CASE(refusedTriesAreCountedByCause)
+{
+    const Day day = dayOf("load: 1\ncallers: {returns: 0}");
+    const Group without = runOf(day, Variant{}, 5).groups.front();
+    BOOST_TEST(without.refusedTries[0] + without.refusedTries[1] == 0);
+    BOOST_TEST(std::accumulate(without.refusedTries.begin(), without.refusedTries.end(), std::uint64_t{})
+        == without.tally.counts[static_cast<std::size_t>(Outcome::Refused)]);
+    Variant controlled;
+    controlled.placement.overloadMode = ingress::OverloadMode::On;
+    BOOST_TEST(runOf(day, controlled, 5).groups.front().refusedTries[0] > 0);
+}
+
+// Guards against variants that differ in name only.
+BOOST_AUTO_TEST_CASE(waysOfChoosingDiffer)
+{
+    const Day day = dayOf("load: 0.4\nmachine_speed: {slow_part: 0.3, slow_factor: 4, reported: true}");
+    std::vector<RunResult> results;
+    Variant variant;
+    results.push_back(runOf(day, variant, 4));
+    variant.speedReported = false;
+    results.push_back(runOf(day, variant, 4));
+    for (const PolicyName policy : {PolicyName::LeastLoad, PolicyName::PowerOfTwoChoices, PolicyName::PowerOfTwoByKey}) {
+        variant.policy = policy;
+        results.push_back(runOf(day, variant, 4));
+    }
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        for (std::size_t j = 0; j < i; ++j) {
+            BOOST_TEST((results[i] != results[j]));
+        }
+    }
 }
 
 // Guards against callers that come back although the day says otherwise, and against requests that end twice or never.
@@ -188,21 +227,33 @@
 BOOST_AUTO_TEST_CASE(experimentsOfTheRepositoryAreRead)
 {
     const std::filesystem::path folder(TREFOILSTILE_OVERLOAD_EXPERIMENTS);
-    for (const char *name : {"a.yaml", "b.yaml", "a-cold.yaml", "b-cold.yaml", "short.yaml"}) {
+    for (const char *name :
+        {"a.yaml", "b.yaml", "a-cold.yaml", "b-cold.yaml", "short.yaml", "a-choice.yaml", "b-choice.yaml", "a-overload.yaml", "b-overload.yaml"}) {
         BOOST_TEST(!readExperiment(folder / name).variants.empty());
     }
     const Experiment experiment = readExperiment(folder / "b.yaml");
     BOOST_TEST(experiment.variants.at(0).placement.queuePerSlot == ingress::PlacementOptions().queuePerSlot);
     BOOST_TEST(experiment.variants.at(1).placement.queuePerSlot == 2);
     BOOST_TEST(experiment.days.at(1).machines.reported);
+    const Experiment overload = readExperiment(folder / "b-overload.yaml");
+    BOOST_TEST((overload.variants.at(0).placement.overloadMode == ingress::OverloadMode::Off));
+    BOOST_TEST((overload.variants.at(1).placement.overloadMode == ingress::OverloadMode::On));
+    BOOST_TEST(overload.variants.at(2).placement.overload.coldUtilizationLimit == 0.75);
 }
 
 // Guards against a wrong mean or standard deviation, and against names that break the page.
 BOOST_AUTO_TEST_CASE(resultsAreSummedOverSeeds)
 {
-    RunResult half{{{"all", {{1, 1, 0, 0, 0}}}}, {{{1, 1, 0, 0, 0}}}, 2, 1};
-    RunResult all{{{"all", {{2, 0, 0, 0, 0}}}}, {{{2, 0, 0, 0, 0}}}, 2, 0};
+    RunResult half{{{"all", {{1, 1, 0, 0, 0}}, {}}}, {{{1, 1, 0, 0, 0}}}, {}, 2, 1};
+    RunResult all{{{"all", {{2, 0, 0, 0, 0}}, {}}}, {{{2, 0, 0, 0, 0}}}, {}, 2, 0};
+    half.groups.front().refusedTries = {1, 0, 0, 0};
+    half.accounts = {{{1, 1, 2, 0, 0}}, {{4, 0, 0, 0, 0}}, {}};
+    all.accounts = {{{4, 0, 0, 0, 0}}, {{4, 0, 0, 0, 0}}, {{0, 1, 0, 0, 0}}};
     const Summary summary = summarize("day", "a<b", {half, all});
+    BOOST_TEST(summary.groups.front().refusedTries[0] == 0.25);
+    BOOST_TEST(summary.inTime.mean.mean == (0.625 + 2.0 / 3) / 2);
+    BOOST_TEST(summary.inTime.worst.mean == 0.125);
+    BOOST_TEST(summary.served.worstTenth.mean == 0.75);
     const Spread &inTime = summary.groups.front().shares[0];
     BOOST_TEST(inTime.mean == 0.75);
     BOOST_TEST(std::abs(inTime.deviation - std::sqrt(0.125)) < 1e-12);
--- a/bench/overload/read_experiment.cpp
+++ b/bench/overload/read_experiment.cpp
@@ -36,17 +36,20 @@
     static const std::map<std::string, PolicyName, std::less<>> policies{{"placement", PolicyName::Placement},
         {"least-load", PolicyName::LeastLoad},
         {"round-robin", PolicyName::RoundRobin},
-        {"bounded-load-hash", PolicyName::BoundedLoadHash}};
+        {"bounded-load-hash", PolicyName::BoundedLoadHash},
+        {"power-of-two", PolicyName::PowerOfTwoChoices},
+        {"power-of-two-by-key", PolicyName::PowerOfTwoByKey}};
     MapReader map(field, faults);
     variant.name = readText(map.required("name"), faults);
     if (const Field policy = map.optional("policy")) {
         const auto found = policies.find(readText(policy, faults));
         if (found == policies.end()) {
-            faults.add(policy.path, policy.node->line, "must be placement, least-load, round-robin or bounded-load-hash");
+            faults.add(policy.path, policy.node->line, "must be placement, least-load, round-robin, bounded-load-hash, power-of-two or power-of-two-by-key");
         } else {
             variant.policy = found->second;
         }
     }
+    document::readBoolInto(variant.speedReported, map.optional("speed_reported"), faults);
     if (const Field options = map.optional("options")) {
         if (variant.policy != PolicyName::Placement) {
             faults.add(options.path, options.node->line, "only the policy placement has options");
--- a/bench/overload/variant_options.cpp
+++ b/bench/overload/variant_options.cpp
@@ -16,12 +16,14 @@
 using document::Field;
 using document::MapReader;
 
-using Target = std::variant<double *, base::Duration *, std::size_t *, bool *>;
+using Target = std::variant<double *, base::Duration *, std::size_t *, bool *, ingress::OverloadMode *>;
 
-/// Options of `ingress::PlacementOptions`, and of `ingress::UpstreamTableOptions` below `upstreams`. Durations are in milliseconds.
+/// Options of `ingress::PlacementOptions`, of `ingress::OverloadOptions` below `overload`, and of `ingress::UpstreamTableOptions` below
+/// `upstreams`. Durations are in milliseconds.
 std::map<std::string, Target> targetsOf(Variant &variant)
 {
     ingress::PlacementOptions &placement = variant.placement;
+    ingress::OverloadOptions &overload = placement.overload;
     ingress::UpstreamTableOptions &upstreams = variant.upstreams;
     return {
         {"coldCost", &placement.coldCost},
@@ -43,6 +45,21 @@
         {"candidateLimit", &placement.candidateLimit},
         {"minimumCandidates", &placement.minimumCandidates},
         {"deadlineShare", &placement.deadlineShare},
+        {"overloadMode", &placement.overloadMode},
+        {"overload.targetLoad", &overload.targetLoad},
+        {"overload.freeLoad", &overload.freeLoad},
+        {"overload.loadGain", &overload.loadGain},
+        {"overload.loadProportion", &overload.loadProportion},
+        {"overload.minimumShare", &overload.minimumShare},
+        {"overload.maximumInversion", &overload.maximumInversion},
+        {"overload.beyondShareFactor", &overload.beyondShareFactor},
+        {"overload.accountBurstSeconds", &overload.accountBurstSeconds},
+        {"overload.waitMargin", &overload.waitMargin},
+        {"overload.minimumQueuePerSlot", &overload.minimumQueuePerSlot},
+        {"overload.maximumQueuePerSlot", &overload.maximumQueuePerSlot},
+        {"overload.urgentQueuePerSlot", &overload.urgentQueuePerSlot},
+        {"overload.coldUtilizationLimit", &overload.coldUtilizationLimit},
+        {"overload.deadlineShare", &overload.deadlineShare},
         {"upstreams.loadTimeConstant", &upstreams.loadTimeConstant},
         {"upstreams.reportedLoadLifetime", &upstreams.reportedLoadLifetime},
         {"upstreams.serviceTimeWeight", &upstreams.serviceTimeWeight},
@@ -69,6 +86,17 @@
     {
         document::readBoolInto(*target, field, faults);
     }
+    void operator()(ingress::OverloadMode *target) const
+    {
+        static const std::map<std::string, ingress::OverloadMode, std::less<>> modes{
+            {"off", ingress::OverloadMode::Off}, {"on", ingress::OverloadMode::On}, {"auto", ingress::OverloadMode::Auto}};
+        const auto found = modes.find(document::readText(field, faults));
+        if (found == modes.end()) {
+            faults.add(field.path, field.node->line, "must be off, on or auto");
+        } else {
+            *target = found->second;
+        }
+    }
 };
 
 } // namespace
--- a/bench/placement/baselines.cpp
+++ b/bench/placement/baselines.cpp
@@ -78,6 +78,31 @@
         now);
 }
 
+PlacementResult PowerOfTwoChoices::choose(const ingress::PlacementRequest &request, const ingress::Configuration &, base::TimePoint now)
+{
+    const auto upstreams = withRoom(request, now);
+    if (upstreams.empty()) {
+        return noRoom();
+    }
+    const Pointer &first = upstreams[base::uniformBelow(m_random, upstreams.size())];
+    const Pointer &second = upstreams[base::uniformBelow(m_random, upstreams.size())];
+    return take(request, loadPerSlot(*second, now) < loadPerSlot(*first, now) ? second : first, now);
+}
+
+PlacementResult PowerOfTwoByKey::choose(const ingress::PlacementRequest &request, const ingress::Configuration &, base::TimePoint now)
+{
+    auto upstreams = withRoom(request, now);
+    if (upstreams.empty()) {
+        return noRoom();
+    }
+    const std::size_t choices = std::min<std::size_t>(2, upstreams.size());
+    std::partial_sort(upstreams.begin(), upstreams.begin() + static_cast<std::ptrdiff_t>(choices), upstreams.end(), [&](const auto &left, const auto &right) {
+        return base::mixBits(request.key ^ left->hash) > base::mixBits(request.key ^ right->hash);
+    });
+    const bool second = choices == 2 && loadPerSlot(*upstreams[1], now) < loadPerSlot(*upstreams[0], now);
+    return take(request, upstreams[second ? 1 : 0], now);
+}
+
 PlacementResult BoundedLoadHash::choose(const ingress::PlacementRequest &request, const ingress::Configuration &, base::TimePoint now)
 {
     auto upstreams = withRoom(request, now);
--- a/bench/placement/baselines.hpp
+++ b/bench/placement/baselines.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "trefoilstile/base/random.hpp"
 #include "trefoilstile/ingress/placement.hpp"
 
 namespace trefoilstile::bench::placement
@@ -41,6 +42,30 @@
     std::string m_region;
 };
 
+/// The less loaded of two upstreams that are drawn at random.
+class PowerOfTwoChoices : public Baseline
+{
+public:
+    PowerOfTwoChoices(ingress::UpstreamTable &upstreamTable, std::string region, std::uint64_t seed)
+        : Baseline(upstreamTable, std::move(region))
+        , m_random(seed)
+    {
+    }
+
+    ingress::PlacementResult choose(const ingress::PlacementRequest &request, const ingress::Configuration &configuration, base::TimePoint now);
+
+private:
+    base::SplitMix64 m_random;
+};
+
+/// The less loaded of the two upstreams with room that are ranked first for the key, so that each object is kept by few upstreams.
+class PowerOfTwoByKey : public Baseline
+{
+public:
+    using Baseline::Baseline;
+    ingress::PlacementResult choose(const ingress::PlacementRequest &request, const ingress::Configuration &configuration, base::TimePoint now);
+};
+
 /// Each upstream in turn.
 class RoundRobin : public Baseline
 {
