Refuse large uploads from their head

Cause: a request with a body of 60 to 360 KB was received completely before the instance looked for a route, a key, quota or capacity. The transfer took the link and the memory of instances with 10 to 200 Mbit/s and 160 to 512 MB for requests that were refused anyway.

Change: `http::RequestReader` reads the head and then reads or discards the body. For bodies of more than 16 KiB or of unknown length, `Exchange::refuseAtHead` decides in between: configuration, route, key, planned stop, quota, capacity. A refusal is queued in the order of the connection, and the body is discarded without memory, so that the next request is served. With `Expect: 100-continue` and nothing of the body received, the refusal closes the connection, because the next bytes could be the body or a request. `Exchange::run` decides again when the body has arrived. The request rate, the retry limit, the demand and overload control count the request once (`RequestStage`); the count of its quota moves to the time of the body (`QuotaGate::renew`), because uploads admitted in earlier windows could otherwise all run in one. A planned stop closes no connection as idle within a body. Smaller requests are read as before.

`quota_test` of the fleet not run.

--- a/include/trefoilstile/http/request_reader.hpp
+++ b/include/trefoilstile/http/request_reader.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "trefoilstile/http/connection.hpp"
@@ -66,13 +67,55 @@
 struct ReadOutcome {
     bool closed = false; ///< the connection ended, failed or was too slow; there is nobody to respond to
     std::uint16_t rejectStatus{}; ///< not 0: the request is refused with it and the connection must be closed
+
+    /// True if the reading can go on.
+    bool complete() const
+    {
+        return !closed && rejectStatus == 0;
+    }
 };
 
 /// Waits until the responses to all earlier requests of the connection have been written; false if the connection ends or closes first.
 using AwaitTurn = std::function<asio::awaitable<bool>()>;
 
-/// Reads a whole request. Requests whose length could be understood in two ways are refused with 400.
-/// @param turn for callers that wait for an interim response, which must not be written into another response; empty: there is none
-asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share, AwaitTurn turn = {});
+/// Greatest body that is always read before anything is decided about its request. What is known of a larger one's request after its
+/// head may save its transfer.
+inline constexpr std::uint64_t s_smallBody = 16U * 1024U;
+
+/// Reads one request from a caller: the head first, and then the body, which is kept or discarded.
+class RequestReader
+{
+public:
+    RequestReader(std::shared_ptr<Connection> connection, RequestLimits limits);
+    ~RequestReader();
+    RequestReader(const RequestReader &) = delete;
+    RequestReader &operator=(const RequestReader &) = delete;
+
+    /// Reads the head. Requests whose length could be understood in two ways are refused with 400.
+    asio::awaitable<ReadOutcome> readHead(Request &request);
+
+    /// True if the body is larger than `s_smallBody` or of unknown length.
+    bool largeBody() const;
+
+    /// Length of the body as declared; 0 if it is not.
+    std::uint64_t declaredLength() const;
+
+    /// True if the caller waits for an interim response and has not begun to send the body.
+    bool awaitsContinue() const;
+
+    /// Reads the body, after an interim response if the caller expects one.
+    /// @param turn waits until the interim response may be written, because it must not be written into another response; empty: at once
+    asio::awaitable<ReadOutcome> readBody(std::string &body, BodyShare &share, AwaitTurn turn = {});
+
+    /// Reads the body without keeping it, so that the next request can be read.
+    asio::awaitable<ReadOutcome> discardBody();
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// Reads a whole request with a `RequestReader`.
+asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share);
 
 } // namespace trefoilstile::http
--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -108,6 +108,13 @@
     None,
 };
 
+/// What has arrived of a request that is placed.
+enum class RequestStage : std::uint8_t {
+    Whole, ///< with its body, if it has one
+    Head, ///< only whether there is capacity for it: no share of a warm-up or of the spilled requests is taken
+    Body, ///< with its body, after overload control has counted its arrival at the head and admitted it
+};
+
 struct PlacementRequest {
     const Route &route;
     std::string_view service;
@@ -117,6 +124,7 @@
     const Account *account = nullptr; ///< account of the caller; null without one
     std::size_t connectionLimit = 1'000'000; ///< connections that this instance may have to one upstream
     std::function<bool(const Upstream &)> reusable{}; ///< whether an open connection to the upstream is free for the request; empty: none is
+    RequestStage stage = RequestStage::Whole;
 };
 
 /// True if upstreams of the region may serve the request. The regions of the route and those of the account both bind.
@@ -130,6 +138,7 @@
     base::Duration wait{}; ///< expected wait for a slot of the chosen upstream
     base::Duration retryAfter{}; ///< set if the outcome is `NoRoom`: time until capacity is expected
     RefusalReason refusal = RefusalReason::None; ///< why the outcome is `NoRoom`; set only under overload control
+    bool counted = false; ///< overload control has counted the arrival of the request
     std::string plannedRegion; ///< according to the region split
     std::size_t candidates{}; ///< number of upstreams considered in the planned region, or in all regions if the planned one has none in use
     double leastLoadPerSlot{}; ///< minimum over the candidates
--- a/include/trefoilstile/proxy/caller_session.hpp
+++ b/include/trefoilstile/proxy/caller_session.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -42,6 +43,14 @@
     };
 
     boost::asio::awaitable<void> readRequests();
+    http::RequestLimits requestLimits() const;
+    /// Response to a request that is refused before its body is read, or nothing.
+    std::optional<CallerResponse> refuseAtHead(Exchange &exchange);
+    /// Answers a request whose body has not been read, and discards the body.
+    boost::asio::awaitable<void> answerAndDiscard(http::RequestReader &reader, CallerResponse response, bool keepAlive);
+    /// Queues the response to a request that could not be read; no further ones are.
+    void reject(std::uint16_t status);
+    void logRejection(std::uint16_t status, std::string_view why);
     /// Waits until the responses to all earlier requests have been written; false if the connection ends or closes first.
     boost::asio::awaitable<bool> awaitTurn();
     boost::asio::awaitable<void> serve(std::shared_ptr<Pending> pending);
@@ -57,6 +66,9 @@
     boost::asio::steady_timer m_roomForRequest;
     bool m_ended = false; ///< the caller has disconnected, or the last response has been written
     bool m_reading = true; ///< further requests are accepted
+    bool m_readingBody = false; ///< the head of a request has been read and its body has not
+    bool m_discarding = false; ///< that body is discarded
+    bool m_closeAfterLast = false; ///< the connection is closed after the responses to all requests that were read
 };
 
 } // namespace trefoilstile::proxy
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -47,6 +47,16 @@
 {
 public:
     Exchange(EntryCore &core, http::Request request, base::TimePoint arrivedAt);
+    ~Exchange();
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    /// Decides from the head of the request, while its body arrives, whether it is refused; returns the response if it is. Call before
+    /// `run` if at all, at most once.
+    std::optional<CallerResponse> refuseAtHead();
+
+    /// Adds the body of a request. What was decided at the head is decided again by `run`.
+    void bodyArrived(std::string body, base::TimePoint now);
 
     /// Serves the request; call once. Returns no response if `cancel` was called.
     boost::asio::awaitable<std::optional<CallerResponse>> run();
@@ -75,15 +85,27 @@
         AttemptEnd end;
     };
 
-    /// Determines route, deadline and service; returns a response if the request cannot be attempted.
+    /// Counts the request, determines what it needs and takes its quota; returns a response if the request cannot be attempted.
     std::optional<CallerResponse> prepare();
 
+    /// The same for the body of a request that was prepared at its head; nothing is counted again.
+    std::optional<CallerResponse> prepareAgain();
+
+    /// Determines route, account and deadline; returns a response if the request cannot be attempted.
+    std::optional<CallerResponse> resolve();
+
+    /// Draws one of the services of the route.
+    void chooseService();
+
     /// Determines the caller's account; returns a response if the request needs an account and has no valid key.
     std::optional<CallerResponse> identify();
 
     /// Takes the quota for the first attempt; returns a response if the account has none left.
     std::optional<CallerResponse> takeQuota();
 
+    /// Takes the quota that was taken at the head for the present; returns a response if the account has none left.
+    std::optional<CallerResponse> renewQuota();
+
     /// True if the quota for another attempt is held or could be taken.
     bool holdsQuota(base::TimePoint now);
 
@@ -103,6 +125,9 @@
     /// Starts an attempt, or returns a response if none is possible.
     std::optional<CallerResponse> startAttempt(bool first);
 
+    /// Response to a request that `m_lastPlacement` found no upstream for.
+    std::optional<CallerResponse> refusePlacement();
+
     /// Response to a request that no further attempt is made for; `outcome` goes into log and metrics.
     std::optional<CallerResponse> failRequest(std::string_view outcome);
 
@@ -156,6 +181,8 @@
     std::uint32_t m_sentAttempts{}; ///< ended attempts that reached an upstream
     bool m_mayHaveRun = false; ///< an attempt ended without proof that it did not run, or was unfinished at the deadline
     bool m_cancelled = false;
+    bool m_preparedAtHead = false; ///< `refuseAtHead` let the request pass
+    ingress::RequestStage m_stage = ingress::RequestStage::Whole;
     std::string m_outcome; ///< for the log and the metrics
     ingress::PlacementResult m_lastPlacement; ///< by `startAttempt`, for the log
     boost::asio::steady_timer m_wakeUpTimer;
--- a/include/trefoilstile/quota/quota_gate.hpp
+++ b/include/trefoilstile/quota/quota_gate.hpp
@@ -70,6 +70,10 @@
     /// Decides about another attempt of an admitted request, such as a retry, and counts it if admitted.
     bool admitFurther(AccountId account, base::TimePoint now);
 
+    /// Decides again about an attempt that was admitted at `admittedAt` and can start only now; its count moves to `now`, or is taken
+    /// back if the attempt is refused. The request does not count as demand again.
+    Decision renew(AccountId account, base::TimePoint admittedAt, base::TimePoint now);
+
     /// Takes back the count of an attempt that was admitted at `admittedAt` and has not run and will not run.
     void returned(AccountId account, base::TimePoint admittedAt, base::TimePoint now);
 
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -15,6 +16,38 @@
 namespace beast_http = boost::beast::http;
 using Parser = beast_http::request_parser<beast_http::string_body>;
 
+/// A body for Beast's parsers that keeps nothing.
+struct DiscardedBody {
+    struct value_type { // NOLINT(readability-identifier-naming): Beast's name
+    };
+
+    class reader // NOLINT(readability-identifier-naming): Beast's name
+    {
+    public:
+        template<bool isRequest, typename Fields>
+        reader(beast_http::header<isRequest, Fields> &, value_type &)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t> &, ErrorCode &error)
+        {
+            error = {};
+        }
+
+        template<typename Buffers>
+        std::size_t put(const Buffers &buffers, ErrorCode &error)
+        {
+            error = {};
+            return asio::buffer_size(buffers);
+        }
+
+        void finish(ErrorCode &error)
+        {
+            error = {};
+        }
+    };
+};
+
 constexpr base::Duration s_continueTimeout = std::chrono::seconds(10);
 
 std::uint16_t statusOf(ErrorCode error)
@@ -26,7 +59,8 @@
 }
 
 /// Parses pending input once. True if the parser has moved on, so that more input may not be needed.
-bool parseSome(Connection &connection, Parser &parser, ErrorCode &error)
+template<typename SomeParser>
+bool parseSome(Connection &connection, SomeParser &parser, ErrorCode &error)
 {
     if (connection.input.size() == 0) {
         return false;
@@ -81,24 +115,10 @@
     return plainTarget ? 0 : 400;
 }
 
-asio::awaitable<ErrorCode> readHead(std::shared_ptr<Connection> connection, Parser &parser)
-{
-    ErrorCode error;
-    while (!parser.is_header_done()) {
-        if (parseSome(*connection, parser, error) && !error) {
-            continue;
-        }
-        if (!error) {
-            error = co_await connection->readSome();
-        }
-        if (error) {
-            co_return error;
-        }
-    }
-    co_return ErrorCode();
-}
-
-asio::awaitable<ReadOutcome> readBody(std::shared_ptr<Connection> connection, Parser &parser, BodyShare &share)
+/// Reads up to the end of the body.
+/// @param keep called after each step; false if the memory does not suffice
+template<typename SomeParser, typename Keep>
+asio::awaitable<ReadOutcome> readToEnd(std::shared_ptr<Connection> connection, SomeParser &parser, Keep keep)
 {
     ErrorCode error;
     while (!parser.is_done()) {
@@ -106,7 +126,7 @@
         if (error) {
             co_return ReadOutcome{false, statusOf(error)};
         }
-        if (!share.growTo(parser.get().body().size())) {
+        if (!keep()) {
             co_return ReadOutcome{false, 503};
         }
         if (moved || parser.is_done()) {
@@ -153,14 +173,36 @@
     return true;
 }
 
-asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share, AwaitTurn turn)
-{
+struct RequestReader::State {
+    std::shared_ptr<Connection> connection;
+    RequestLimits limits;
     Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(s_headLimit));
-    parser.body_limit(limits.body);
-    connection->readDeadline.set(limits.headTimeout);
-    skipEmptyLines(*connection);
-    const ErrorCode error = co_await readHead(connection, parser);
+    bool expectsContinue = false;
+};
+
+RequestReader::RequestReader(std::shared_ptr<Connection> connection, RequestLimits limits)
+    : m_state(std::make_unique<State>())
+{
+    m_state->connection = std::move(connection);
+    m_state->limits = limits;
+    m_state->parser.header_limit(static_cast<std::uint32_t>(s_headLimit));
+    m_state->parser.body_limit(limits.body);
+}
+
+RequestReader::~RequestReader() = default;
+
+asio::awaitable<ReadOutcome> RequestReader::readHead(Request &request)
+{
+    Connection &connection = *m_state->connection;
+    Parser &parser = m_state->parser;
+    connection.readDeadline.set(m_state->limits.headTimeout);
+    skipEmptyLines(connection);
+    ErrorCode error;
+    while (!parser.is_header_done() && !error) {
+        if (!parseSome(connection, parser, error) && !error) {
+            error = co_await connection.readSome();
+        }
+    }
     if (error && (error.category() == asio::error::get_system_category() || error == asio::error::eof)) {
         co_return ReadOutcome{true, 0};
     }
@@ -171,32 +213,76 @@
         co_return ReadOutcome{false, statusOf(error)};
     }
     takeHead(parser, request);
-    if (const std::uint16_t status = checkHead(parser, request); status != 0) {
-        co_return ReadOutcome{false, status};
-    }
-    if (!share.growTo(parser.content_length().value_or(0))) {
+    const std::string *expect = findHeader(request.headers, "Expect");
+    m_state->expectsContinue = expect != nullptr && request.http11 && !parser.is_done() && equalsIgnoreCase(*expect, "100-continue");
+    co_return ReadOutcome{false, checkHead(parser, request)};
+}
+
+bool RequestReader::largeBody() const
+{
+    return !m_state->parser.is_done() && m_state->parser.content_length().value_or(s_smallBody + 1) > s_smallBody;
+}
+
+std::uint64_t RequestReader::declaredLength() const
+{
+    return m_state->parser.content_length().value_or(0);
+}
+
+bool RequestReader::awaitsContinue() const
+{
+    return m_state->expectsContinue && m_state->connection->input.size() == 0;
+}
+
+asio::awaitable<ReadOutcome> RequestReader::readBody(std::string &body, BodyShare &share, AwaitTurn turn)
+{
+    Connection &connection = *m_state->connection;
+    Parser &parser = m_state->parser;
+    if (!share.growTo(declaredLength())) {
         co_return ReadOutcome{false, 503};
     }
-    connection->readDeadline.set(limits.bodyTimeout);
-    const std::string *expect = findHeader(request.headers, "Expect");
-    if (expect != nullptr && request.http11 && !parser.is_done() && equalsIgnoreCase(*expect, "100-continue")) {
+    connection.readDeadline.set(m_state->limits.bodyTimeout);
+    if (m_state->expectsContinue) {
         if (turn) {
-            connection->readDeadline.clear();
+            connection.readDeadline.clear();
             const bool ready = co_await turn();
             if (!ready) {
                 co_return ReadOutcome{true, 0};
             }
-            connection->readDeadline.set(limits.bodyTimeout);
+            connection.readDeadline.set(m_state->limits.bodyTimeout);
         }
-        const ErrorCode failed = co_await connection->write("HTTP/1.1 100 Continue\r\n\r\n", s_continueTimeout);
+        const ErrorCode failed = co_await connection.write("HTTP/1.1 100 Continue\r\n\r\n", s_continueTimeout);
         if (failed) {
             co_return ReadOutcome{true, 0};
         }
     }
-    const ReadOutcome outcome = co_await readBody(connection, parser, share);
-    connection->readDeadline.clear();
-    request.body = std::move(parser.get().body());
+    const ReadOutcome outcome = co_await readToEnd(m_state->connection, parser, [&parser, &share]() {
+        return share.growTo(parser.get().body().size());
+    });
+    connection.readDeadline.clear();
+    body = std::move(parser.get().body());
     co_return outcome;
 }
 
+asio::awaitable<ReadOutcome> RequestReader::discardBody()
+{
+    Connection &connection = *m_state->connection;
+    connection.readDeadline.set(m_state->limits.bodyTimeout);
+    beast_http::request_parser<DiscardedBody> parser(std::move(m_state->parser));
+    const ReadOutcome outcome = co_await readToEnd(m_state->connection, parser, []() {
+        return true;
+    });
+    connection.readDeadline.clear();
+    co_return outcome;
+}
+
+asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestLimits limits, Request &request, BodyShare &share)
+{
+    RequestReader reader(std::move(connection), limits);
+    const ReadOutcome outcome = co_await reader.readHead(request);
+    if (!outcome.complete()) {
+        co_return outcome;
+    }
+    co_return co_await reader.readBody(request.body, share);
+}
+
 } // namespace trefoilstile::http
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -236,7 +236,8 @@
 {
     const bool automatic = !configuration.accounts.empty() || service.reportsSpeed;
     const bool controlled = m_options.overloadMode == OverloadMode::On || (m_options.overloadMode == OverloadMode::Auto && automatic);
-    ControlledRequest result{nullptr, {request.route, request.account, request.key, {}}, {}, request.excluded.empty()};
+    const bool counted = request.excluded.empty() && request.stage != RequestStage::Body;
+    ControlledRequest result{nullptr, {request.route, request.account, request.key, {}}, {}, counted};
     if (controlled) {
         result.control = &service.overload;
         result.request.cost = requestCost(request.route, request.account, request.timeLeft, m_options.overload.cost);
@@ -291,7 +292,10 @@
         }
         return result;
     }
-    service.spill.requestPlaced(now);
+    const bool headOnly = request.stage == RequestStage::Head;
+    if (!headOnly) {
+        service.spill.requestPlaced(now);
+    }
     std::vector<Candidate> local = candidates(request, ranking.inUse, now);
     const auto lowerCost = [](const Candidate &left, const Candidate &right) {
         return left.cost < right.cost;
@@ -303,7 +307,7 @@
         return candidate.load / candidate.slots;
     });
     const auto tryChoose = [&](const Candidate &candidate, PlacementReason reason) {
-        if (!admitsDuringWarmUp(service, **candidate.upstream, configuration, now)) {
+        if (!headOnly && !admitsDuringWarmUp(service, **candidate.upstream, configuration, now)) {
             return false;
         }
         result.outcome = PlacementOutcome::Chosen;
@@ -318,7 +322,7 @@
         const std::vector<Candidate> remote = candidates(request, ranked(request, otherGroups, m_options.candidateLimit, now).inUse, now);
         const auto best = std::min_element(remote.begin(), remote.end(), lowerCost);
         const bool better = best != remote.end() && best->load + 1 <= best->slots && best->cost < local.front().cost;
-        if (better && service.spill.tryTake(now) && tryChoose(*best, PlacementReason::Spill)) {
+        if (better && (headOnly || service.spill.tryTake(now)) && tryChoose(*best, PlacementReason::Spill)) {
             return result;
         }
     }
@@ -331,6 +335,7 @@
         }
         controlled.admission = controlled.control->arrived(controlled.request, loadPerSlot / static_cast<double>(local.size()), now);
         result.refusal = controlled.admission.refusal;
+        result.counted = true;
     }
     const auto restrained = [&](const Candidate &candidate) {
         const Upstream &upstream = **candidate.upstream;
--- a/src/ingress/placement_test.cpp
+++ b/src/ingress/placement_test.cpp
@@ -186,6 +186,30 @@
     BOOST_TEST(sent == 16);
 }
 
+// Guards against a request that takes a share of the warm-up, or counts in overload control, at its head and again with its body.
+BOOST_AUTO_TEST_CASE(requestIsCountedOnceAtItsHeadAndWithItsBody)
+{
+    PlacementFixture fixture(0, 0);
+    fixture.configuration.services.at(s_service).warmUpRequestsPerSecond = 1;
+    fixture.configuration.accounts.emplace_back(); // overload control is in effect
+    PlacementOptions options;
+    options.overloadMode = OverloadMode::Auto;
+    Placement placement(fixture.upstreams, "one", "east", 1, options);
+    placement.setMembers({}, 1);
+    fixture.addUpstream(0, "east", 3s);
+    PlacementRequest request{fixture.route, s_service, 1, {}, 2s};
+    const auto choose = [&](RequestStage stage) {
+        request.stage = stage;
+        return placement.choose(request, fixture.configuration, s_start);
+    };
+    for (const auto &[stage, counted] : {std::pair(RequestStage::Head, true), std::pair(RequestStage::Body, false)}) {
+        const PlacementResult result = choose(stage);
+        BOOST_TEST((result.outcome == PlacementOutcome::Chosen));
+        BOOST_TEST(result.counted == counted);
+    }
+    BOOST_TEST((choose(RequestStage::Whole).outcome == PlacementOutcome::NoRoom));
+}
+
 // Guards against requests from instances of other failure domains that exceed the warm-up rate of an upstream. With 87 instances,
 // only those of the own failure domain are known individually (shmr-grown trouble-1, FAILBACK: 19 requests in a second, 13 allowed).
 BOOST_AUTO_TEST_CASE(warmingUpstreamOfAnotherFailureDomainGetsNoRequests)
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "trefoilstile/proxy/caller_session.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -68,7 +69,7 @@
 
 void CallerSession::closeIfIdle()
 {
-    if (m_pending.empty() && m_connection->quiet()) {
+    if (m_pending.empty() && !m_readingBody && m_connection->quiet()) {
         // Ends the wait for a request. If input has already been read from the socket, that request is still served.
         m_connection->cancelRead();
     }
@@ -87,6 +88,16 @@
     m_responseReady.cancel();
 }
 
+http::RequestLimits CallerSession::requestLimits() const
+{
+    base::Duration longestTimeout{}; // added to the limits, because a connection with requests in service is not idle
+    for (const ingress::Route &route : m_core.configuration.routes) {
+        longestTimeout = std::max(longestTimeout, route.timeout);
+    }
+    const ingress::CallerLimits &limits = m_core.configuration.limits;
+    return {limits.bodyBytes, limits.idleTimeout + longestTimeout, limits.headTimeout + longestTimeout};
+}
+
 boost::asio::awaitable<void> CallerSession::readRequests()
 {
     const auto self = shared_from_this();
@@ -100,15 +111,26 @@
             co_await m_roomForRequest.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
             continue;
         }
-        base::Duration longestTimeout{}; // added to the limits, because a connection with requests in service is not idle
-        for (const ingress::Route &route : m_core.configuration.routes) {
-            longestTimeout = std::max(longestTimeout, route.timeout);
-        }
-        const ingress::CallerLimits &limits = m_core.configuration.limits;
-        const http::RequestLimits requestLimits{limits.bodyBytes, limits.idleTimeout + longestTimeout, limits.headTimeout + longestTimeout};
+        http::RequestReader reader(m_connection, requestLimits());
         http::Request request;
         http::BodyShare share(m_bodyBudget);
-        const http::ReadOutcome outcome = co_await http::readRequest(m_connection, requestLimits, request, share, turn);
+        http::ReadOutcome outcome = co_await reader.readHead(request);
+        const bool keepAlive = request.keepAlive;
+        std::shared_ptr<Exchange> exchange;
+        if (outcome.complete() && !m_ended && m_reading) {
+            m_readingBody = true;
+            exchange = std::make_shared<Exchange>(m_core, std::move(request), http::now());
+            if (reader.largeBody()) {
+                if (auto refusal = refuseAtHead(*exchange)) {
+                    co_await answerAndDiscard(reader, std::move(*refusal), keepAlive);
+                    continue;
+                }
+            }
+            std::string body;
+            outcome = co_await reader.readBody(body, share, turn);
+            m_readingBody = false;
+            exchange->bodyArrived(std::move(body), http::now());
+        }
         if (m_ended) {
             break;
         }
@@ -119,20 +141,16 @@
         if (!m_reading) {
             break; // arrived after a response that closes the connection was started: treated as not received, and not forwarded
         }
-        const auto pending = std::make_shared<Pending>();
-        pending->bodyShare = std::move(share);
-        pending->closeAfter = !request.keepAlive || outcome.rejectStatus != 0;
-        m_reading = !pending->closeAfter;
-        m_pending.push_back(pending);
         if (outcome.rejectStatus != 0) {
-            pending->response = localResponse(outcome.rejectStatus);
-            LogLine line("request_rejected");
-            line.number("status", outcome.rejectStatus).text("why", "malformed or over a limit");
-            m_core.log.write(line, http::now());
-            m_responseReady.cancel();
+            reject(outcome.rejectStatus);
             break;
         }
-        pending->exchange = std::make_shared<Exchange>(m_core, std::move(request), http::now());
+        const auto pending = std::make_shared<Pending>();
+        pending->bodyShare = std::move(share);
+        pending->closeAfter = !keepAlive;
+        m_reading = keepAlive;
+        m_pending.push_back(pending);
+        pending->exchange = std::move(exchange);
         spawnOnce(
             m_core,
             "request",
@@ -155,6 +173,71 @@
     }
 }
 
+std::optional<CallerResponse> CallerSession::refuseAtHead(Exchange &exchange)
+{
+    try {
+        return exchange.refuseAtHead();
+    } catch (...) {
+        logActivityFailure(m_core, "request_head", describe(std::current_exception()));
+        return localResponse(503); // nothing of the request has been sent
+    }
+}
+
+boost::asio::awaitable<void> CallerSession::answerAndDiscard(http::RequestReader &reader, CallerResponse response, bool keepAlive)
+{
+    // A caller that waits for an interim response may leave out the body, so it is unknown what its next bytes would be. A caller that
+    // has begun to send the body goes on with it.
+    const bool mayOmitBody = reader.awaitsContinue();
+    const auto pending = std::make_shared<Pending>();
+    pending->response = std::move(response);
+    pending->closeAfter = !keepAlive || mayOmitBody;
+    m_reading = !pending->closeAfter;
+    m_pending.push_back(pending);
+    m_responseReady.cancel();
+    m_readingBody = !mayOmitBody;
+    if (mayOmitBody) {
+        m_connection->readDeadline.clear();
+        co_return;
+    }
+    m_discarding = true;
+    const http::ReadOutcome outcome = co_await reader.discardBody();
+    m_discarding = false;
+    m_readingBody = false;
+    m_responseReady.cancel();
+    if (m_ended) {
+        co_return;
+    }
+    if (outcome.closed) {
+        handleDisconnect();
+    } else if (outcome.rejectStatus != 0) {
+        // The request has its response already; where the next one begins is unknown.
+        logRejection(outcome.rejectStatus, "malformed or over a limit, in a body that is discarded");
+        m_reading = false;
+        m_closeAfterLast = true;
+    } else if (m_core.stop.begun() && m_pending.empty() && m_connection->quiet()) {
+        m_reading = false; // `closeIfIdle` has spared the connection
+        m_closeAfterLast = true;
+    }
+}
+
+void CallerSession::reject(std::uint16_t status)
+{
+    const auto pending = std::make_shared<Pending>();
+    pending->closeAfter = true;
+    pending->response = localResponse(status);
+    m_reading = false;
+    m_pending.push_back(pending);
+    logRejection(status, "malformed or over a limit");
+    m_responseReady.cancel();
+}
+
+void CallerSession::logRejection(std::uint16_t status, std::string_view why)
+{
+    LogLine line("request_rejected");
+    line.number("status", status).text("why", why);
+    m_core.log.write(line, http::now());
+}
+
 boost::asio::awaitable<bool> CallerSession::awaitTurn()
 {
     while (!m_ended && m_reading && !m_pending.empty()) {
@@ -183,6 +266,11 @@
             if (m_pending.empty() && !m_connection->socket.is_open()) {
                 break;
             }
+            if (m_pending.empty() && m_closeAfterLast) {
+                m_ended = true;
+                co_await m_connection->lingeringClose();
+                break;
+            }
             http::ErrorCode ignored; // cancelled when a response is ready or the connection ends
             m_responseReady.expires_at(std::chrono::steady_clock::time_point::max());
             co_await m_responseReady.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
@@ -192,8 +280,8 @@
         CallerResponse &response = *pending->response;
         // Requests after a response that closes the connection are treated as not received, so only the response to the last
         // request may close it while the instance stops.
-        const bool last = m_pending.size() == 1 && m_connection->input.size() == 0;
-        const bool close = pending->closeAfter || (m_core.stop.begun() && last);
+        const bool last = m_pending.size() == 1 && (m_discarding || m_closeAfterLast || m_connection->input.size() == 0);
+        const bool close = pending->closeAfter || ((m_core.stop.begun() || m_closeAfterLast) && last);
         if (close) {
             m_reading = false;
         }
@@ -221,12 +309,17 @@
         m_pending.pop_front();
         m_roomForRequest.cancel();
         if (close) {
-            m_ended = true;
             for (const auto &unanswered : m_pending) {
                 if (unanswered->exchange) {
                     unanswered->exchange->cancel();
                 }
             }
+            while (m_discarding && !m_ended) { // a caller may read its response only after it has sent the whole body
+                http::ErrorCode ignored; // cancelled when the body has been discarded
+                m_responseReady.expires_at(std::chrono::steady_clock::time_point::max());
+                co_await m_responseReady.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            }
+            m_ended = true;
             co_await m_connection->lingeringClose();
             break;
         }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -29,9 +29,6 @@
 /// to reach the caller.
 constexpr base::Duration s_minimumAttemptTime = std::chrono::milliseconds(120);
 
-/// The response is sent this long before the caller's deadline, so that it reaches the caller in time.
-constexpr base::Duration s_responseMargin = std::chrono::milliseconds(20);
-
 /// Interval between two looks at whether a second attempt should start, where upstreams report their speed. Reports arrive every
 /// 300 ms.
 constexpr base::Duration s_hedgeCheck = std::chrono::milliseconds(100);
@@ -39,9 +36,6 @@
 /// Maximum speed factor of the upstream of a second attempt, as a fraction of that of a slow first one. The second starts anew.
 constexpr double s_fasterShare = 0.7;
 
-/// Maximum waiting time accepted from a caller; longer times are reduced to it.
-constexpr std::uint64_t s_maximumWaitMilliseconds = 3'600'000;
-
 } // namespace
 
 CallerResponse localResponse(std::uint16_t status, base::Duration retryAfter)
@@ -97,50 +91,9 @@
     }
 }
 
-std::optional<CallerResponse> Exchange::prepare()
-{
-    if (!m_core.routes || !m_core.upstreamsKnown) {
-        m_outcome = "not_ready";
-        // After a start, reading the store takes a few round trips.
-        return localResponse(503, std::chrono::milliseconds(200));
-    }
-    const std::string *hostField = http::findHeader(m_request.headers, "Host");
-    const auto host = hostField == nullptr ? std::nullopt : http::hostWithoutPort(*hostField);
-    if (!host) {
-        m_outcome = "bad_host";
-        return localResponse(400);
-    }
-    const std::string_view target = m_request.target;
-    m_route = m_core.routes->find(*host, target.substr(0, target.find('?')));
-    if (!m_route) {
-        m_outcome = "no_route";
-        return localResponse(404);
-    }
-    if (auto refusal = identify()) {
-        return refusal;
-    }
-    base::Duration timeAllowed = m_route->route.timeout;
-    if (const std::string *timeLeft = http::findHeader(m_request.headers, m_core.names.timeLeft)) {
-        if (const auto milliseconds = http::parseNumber(*timeLeft)) {
-            const base::Duration callerLimit = std::chrono::milliseconds(std::min(*milliseconds, s_maximumWaitMilliseconds));
-            timeAllowed = std::min(timeAllowed, std::max(callerLimit - s_responseMargin, callerLimit / 2));
-        }
-    }
-    m_deadline = m_arrivedAt + timeAllowed;
-    if (!m_core.stop.accepts(timeAllowed, m_arrivedAt)) {
-        m_outcome = "stopping";
-        return localResponse(503, std::chrono::milliseconds(1));
-    }
-    const std::string *objectKey = http::findHeader(m_request.headers, m_core.names.objectKey);
-    m_key = objectKey == nullptr ? m_core.random.next() : ingress::objectHash(m_route->route, *objectKey);
-    m_service = m_route->route.shares[m_route->rotation.next()].service;
-    m_core.retryShare(m_service).requestArrived(m_arrivedAt);
-    return takeQuota();
-}
-
-bool Exchange::keyWithdrawn() const
+Exchange::~Exchange()
 {
-    return m_account && !m_core.accounts->find(m_keyDigest);
+    returnQuota(); // of a request whose body has not arrived
 }
 
 boost::asio::awaitable<std::optional<CallerResponse>> Exchange::run()
@@ -151,8 +104,7 @@
         --m_core.requests;
         returnQuota();
     });
-    m_core.requestRate.requestArrived();
-    std::optional<CallerResponse> response = prepare();
+    std::optional<CallerResponse> response = m_preparedAtHead ? prepareAgain() : prepare();
     if (!response) {
         response = startAttempt(true);
     }
@@ -282,6 +234,7 @@
         tried.push_back(attempt->upstream.get());
     }
     ingress::PlacementRequest request{m_route->route, m_service, m_key, tried, m_deadline - now, m_account.get(), m_core.connectionLimit(m_service)};
+    request.stage = m_stage;
     request.reusable = [this, now](const ingress::Upstream &upstream) {
         return m_core.connections.has(upstream.report.id, now);
     };
@@ -299,11 +252,16 @@
         return failRequest("no_retry");
     }
     m_lastPlacement = place(now);
-    const ingress::PlacementResult &placed = m_lastPlacement;
-    if (placed.outcome == ingress::PlacementOutcome::Chosen) {
-        launch(placed, now);
+    if (m_lastPlacement.outcome == ingress::PlacementOutcome::Chosen) {
+        launch(m_lastPlacement, now);
         return std::nullopt;
     }
+    return refusePlacement();
+}
+
+std::optional<CallerResponse> Exchange::refusePlacement()
+{
+    const ingress::PlacementResult &placed = m_lastPlacement;
     if (placed.outcome == ingress::PlacementOutcome::NoRoom && !m_mayHaveRun && !m_failureResponse) {
         m_outcome = "no_room";
         // Jitter prevents the callers of one burst from retrying at the same time.
--- a/src/proxy/exchange_quota.cpp
+++ b/src/proxy/exchange_quota.cpp
@@ -25,6 +25,23 @@
     return std::nullopt;
 }
 
+std::optional<CallerResponse> Exchange::renewQuota()
+{
+    if (m_unusedQuota.empty() || !m_account || m_quotaAccount != quota::accountId(m_account->name)) {
+        returnQuota(); // the key belongs to another account, or the route needs none now
+        return takeQuota();
+    }
+    const base::TimePoint now = http::now();
+    const quota::Decision decision = m_core.quota.renew(m_quotaAccount, m_unusedQuota.back(), now);
+    if (!decision.admitted) {
+        m_unusedQuota.clear();
+        m_outcome = "over_quota";
+        return localResponse(429, decision.retryAfter);
+    }
+    m_unusedQuota.back() = now;
+    return std::nullopt;
+}
+
 bool Exchange::holdsQuota(base::TimePoint now)
 {
     if (!m_account || !m_core.quota.active() || !m_unusedQuota.empty()) {
--- a/src/quota/quota_gate.cpp
+++ b/src/quota/quota_gate.cpp
@@ -271,6 +271,19 @@
     return true;
 }
 
+Decision QuotaGate::renew(AccountId id, base::TimePoint admittedAt, base::TimePoint now)
+{
+    returned(id, admittedAt, now);
+    if (admitFurther(id, now)) {
+        return {};
+    }
+    Account &account = *find(id);
+    ++account.refused;
+    account.refusedAt = now;
+    account.limited = true;
+    return {false, expectedWait(account, now)};
+}
+
 void QuotaGate::returned(AccountId id, base::TimePoint admittedAt, base::TimePoint now)
 {
     if (Account *account = find(id)) {
