--- a/include/trefoilstile/ingress/configuration.hpp
+++ b/include/trefoilstile/ingress/configuration.hpp
@@ -1,6 +1,7 @@
 // Routes, services, client accounts and caller limits that the operator configures for an entry instance.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -39,6 +40,7 @@
     std::vector<ServiceShare> shares; ///< must not be empty
     std::vector<std::string> homeRegions; ///< regions that may serve the route; empty means all
     RouteAccess access = RouteAccess::Unspecified;
+    bool largeBodies = false; ///< requests have large bodies
 };
 
 /// SHA-256 digest of an API key.
@@ -77,6 +79,14 @@
     CallerLimits limits;
     /// Entries that could not be read, each as its path and the error. The other entries are in effect.
     std::vector<std::string> unreadable;
+
+    /// True if requests of some route have large bodies. What saves their transfer is in effect only then.
+    bool expectsLargeBodies() const
+    {
+        return std::any_of(routes.begin(), routes.end(), [](const Route &route) {
+            return route.largeBodies;
+        });
+    }
 };
 
 } // namespace trefoilstile::ingress
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -171,7 +171,8 @@
 
 bool Placement::take(Decision &decision, const Candidate &candidate, PlacementReason reason)
 {
-    if (!admitsDuringWarmUp(decision.service, **candidate.upstream, decision.configuration, decision.now)) {
+    const bool headOnly = decision.request.stage == RequestStage::Head;
+    if (!headOnly && !admitsDuringWarmUp(decision.service, **candidate.upstream, decision.configuration, decision.now)) {
         return false;
     }
     decision.result.outcome = PlacementOutcome::Chosen;
@@ -193,7 +194,8 @@
     const std::vector<Candidate> remote = candidates(decision.request, ranking.inUse, decision.now);
     const auto best = std::min_element(remote.begin(), remote.end(), lowerCost);
     const bool better = best != remote.end() && best->load + 1 <= best->slots && best->cost < local.cost;
-    return better && decision.service.spill.tryTake(decision.now) && take(decision, *best, PlacementReason::Spill);
+    const bool allowed = better && (decision.request.stage == RequestStage::Head || decision.service.spill.tryTake(decision.now));
+    return allowed && take(decision, *best, PlacementReason::Spill);
 }
 
 void Placement::admit(Decision &decision)
@@ -207,7 +209,7 @@
     controlled.control = &decision.service.overload;
     const RequestCost cost = requestCost(request.route, request.account, request.timeLeft, m_options.overload.cost);
     controlled.request.emplace(OverloadControl::Request{request.route, request.account, request.key, cost});
-    controlled.counted = request.excluded.empty();
+    controlled.counted = request.excluded.empty() && request.stage != RequestStage::Body;
     if (!controlled.counted) {
         return;
     }
@@ -217,6 +219,7 @@
     }
     controlled.admission = controlled.control->arrived(*controlled.request, loadPerSlot / static_cast<double>(decision.local.size()), decision.now);
     decision.result.refusal = controlled.admission.refusal;
+    decision.result.counted = true;
 }
 
 bool Placement::takeLocal(Decision &decision)
@@ -289,7 +292,9 @@
         }
         return result;
     }
-    service.spill.requestPlaced(now);
+    if (request.stage != RequestStage::Head) {
+        service.spill.requestPlaced(now);
+    }
     decision.local = candidates(request, regions.ranking.inUse, now);
     std::stable_sort(decision.local.begin(), decision.local.end(), lowerCost);
     result.plannedRegion = planned;
