Weight instances in lookups by their measured capacity

The entry process announced the capacity from constants, whatever its requests need.

Exchange::recordBytes records the bytes of each request when it ends: body and head from the caller and what each attempt sent and received. CapacityMeter reads the processor clock, the body budgets and the connections ten times per second, and advances ingress::MeasuredRequests, whose capacity is reported to other instances. The setting measured-capacity (off, on, auto) enables it; auto is in effect if the configuration has accounts or upstreams report their speed, so other deployments keep the constants.

--- a/include/trefoilstile/http/message.hpp
+++ b/include/trefoilstile/http/message.hpp
@@ -84,4 +84,7 @@
 /// Appends all fields and no empty line.
 void appendFields(std::string &text, const Headers &headers);
 
+/// Bytes that `appendFields` appends.
+std::uint64_t fieldBytes(const Headers &headers);
+
 } // namespace trefoilstile::http
--- a/include/trefoilstile/proxy/caller_listener.hpp
+++ b/include/trefoilstile/proxy/caller_listener.hpp
@@ -15,6 +15,9 @@
 namespace trefoilstile::proxy
 {
 
+/// Fraction of the descriptors used for callers; the rest is for upstreams, files and the other servers.
+inline constexpr double s_callerDescriptorShare = 0.5;
+
 /// Accepts caller connections and tracks their sessions.
 class CallerListener
 {
@@ -32,6 +35,12 @@
         return m_listener->address();
     }
 
+    /// Memory for bodies of requests.
+    const http::BodyBudget &bodyBudget() const
+    {
+        return *m_bodyBudget;
+    }
+
 private:
     void acceptConnection(boost::asio::ip::tcp::socket socket);
 
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -16,6 +16,7 @@
 #include "trefoilstile/ingress/configuration.hpp"
 #include "trefoilstile/ingress/fleet_limits.hpp"
 #include "trefoilstile/ingress/instance_capacity.hpp"
+#include "trefoilstile/ingress/measured_requests.hpp"
 #include "trefoilstile/ingress/placement.hpp"
 #include "trefoilstile/ingress/planned_stop.hpp"
 #include "trefoilstile/ingress/route_index.hpp"
@@ -77,6 +78,7 @@
     std::size_t sessions{}; ///< open caller connections
     std::size_t requests{}; ///< requests in service
     ingress::RequestRate requestRate;
+    ingress::MeasuredRequests measuredRequests; ///< advanced by `CapacityMeter`
 
 private:
     void splitRegions(base::TimePoint now);
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -26,6 +26,7 @@
 #include "trefoilstile/ingress/entry_list.hpp"
 #include "trefoilstile/proxy/activity.hpp"
 #include "trefoilstile/proxy/caller_listener.hpp"
+#include "trefoilstile/proxy/capacity_meter.hpp"
 #include "trefoilstile/proxy/fleet_register.hpp"
 #include "trefoilstile/proxy/followed_table.hpp"
 #include "trefoilstile/proxy/member_link.hpp"
@@ -58,6 +59,7 @@
         , m_readiness(context, {m_core.settings.readinessAddress, s_lookupConnections, s_requestTimeout})
         , m_metrics(context, {m_core.settings.metricsAddress, s_lookupConnections, s_requestTimeout})
         , m_callers(m_core)
+        , m_capacityMeter(m_core)
     {
         setHandlers();
     }
@@ -195,6 +197,7 @@
             table.setGauges();
         });
         m_quotaLink.setGauges(http::now());
+        m_capacityMeter.setGauges();
         m_core.metrics.set("trefoilstile_feed_requests_waiting", {}, static_cast<double>(m_feedServer.waiting()));
         m_core.metrics.set("trefoilstile_response_bytes_held", {}, static_cast<double>(m_core.responseBudget->held));
         m_core.metrics.set("trefoilstile_log_lines_dropped", {}, static_cast<double>(m_core.log.dropped()));
@@ -371,8 +374,9 @@
         });
         m_core.advance(now);
         m_feedServer.advance(now);
+        m_capacityMeter.tick(m_callers.bodyBudget(), now);
         if (m_members) {
-            m_members->reportSpareCapacity(ingress::spareCapacity(ingress::instanceCapacity(m_core.settings.resources), m_core.requestRate.perSecond()));
+            m_members->reportSpareCapacity(ingress::spareCapacity(m_core.measuredRequests.capacity(), m_core.requestRate.perSecond()));
             m_members->tick(now);
             observeMembers(now);
             if (!m_settled) {
@@ -481,6 +485,7 @@
     http::OperatorServer m_readiness;
     http::OperatorServer m_metrics;
     CallerListener m_callers;
+    CapacityMeter m_capacityMeter;
     MemberLog m_memberLog;
     std::uint64_t m_membersVersion = ~0ULL; ///< version of the member table that `observeMembers` last handled
     std::optional<base::TimePoint> m_stopSince; ///< time of SIGTERM
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -72,6 +72,7 @@
         bool aborted = false;
         bool ended = false;
         bool processed = false; ///< `processEndedAttempts` has handled the result
+        ingress::RequestBytes bytes; ///< exchanged with the upstream so far
         AttemptEnd end;
     };
 
@@ -137,6 +138,8 @@
     std::size_t running() const;
     void abortAttempts();
     void logEnd(const std::optional<CallerResponse> &response, base::TimePoint now);
+    /// Records what the request needed of the link.
+    void recordBytes(const std::optional<CallerResponse> &response);
 
     EntryCore &m_core;
     http::Request m_request;
--- a/include/trefoilstile/proxy/settings.hpp
+++ b/include/trefoilstile/proxy/settings.hpp
@@ -9,6 +9,7 @@
 #include "trefoilstile/base/error.hpp"
 #include "trefoilstile/base/time.hpp"
 #include "trefoilstile/ingress/instance_capacity.hpp"
+#include "trefoilstile/ingress/measured_requests.hpp"
 #include "trefoilstile/ingress/placement.hpp"
 
 namespace trefoilstile::proxy
@@ -36,6 +37,7 @@
     base::Duration leavingBound = std::chrono::seconds(2); ///< time after which an upstream that was reported as draining or removed gets no requests
     double shiftLimit = 0.15; ///< fraction of a region's requests that may move to another region within 2 s
     ingress::OverloadMode overloadControl = ingress::OverloadMode::Auto; ///< services under overload control
+    ingress::CapacityMode measuredCapacity = ingress::CapacityMode::Auto; ///< whether lookups weight this instance by its measured capacity
     base::Duration quotaWindow{}; ///< sliding window of the quotas of accounts; 0: quotas are not enforced
     double quotaOvershoot = 0; ///< fraction by which all instances together may exceed a quota
     double quotaSlack = 0; ///< requests per window by which all instances together may exceed a quota in addition
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -234,6 +234,16 @@
     }
 }
 
+std::uint64_t fieldBytes(const Headers &headers)
+{
+    constexpr std::size_t separators = 4; // ": " and the line end
+    std::uint64_t sum = 0;
+    for (const Header &header : headers) {
+        sum += header.name.size() + header.value.size() + separators;
+    }
+    return sum;
+}
+
 std::optional<std::string> queryParameter(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
--- a/src/proxy/caller_listener.cpp
+++ b/src/proxy/caller_listener.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Fraction of the descriptors used for callers; the rest is for upstreams, files and the other servers.
-constexpr double s_callerDescriptorShare = 0.5;
-
 /// Fraction of the memory used for request bodies held at the same time.
 constexpr double s_bodyMemoryShare = 0.2;
 
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -57,6 +57,7 @@
     , quota(quotaOptions(settings), random.next())
     , upstreamTable(ingress::upstreamTableOptions(settings.leavingBound))
     , placement(upstreamTable, settings.region, settings.failureDomain, base::stableHash(settings.name), placementOptions(settings))
+    , measuredRequests(settings.resources)
 {
     responseBudget = std::make_shared<http::BodyBudget>();
     responseBudget->limit = static_cast<std::uint64_t>(settings.memoryMegabytes * 1e6 * s_responseMemoryShare);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -185,6 +185,7 @@
     }
     abortAttempts();
     logEnd(response, http::now());
+    recordBytes(response);
     if (m_cancelled) {
         co_return std::nullopt;
     }
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -170,7 +170,7 @@
     std::vector<boost::asio::const_buffer> buffers;
     buffers.push_back(boost::asio::buffer(head));
     buffers.push_back(boost::asio::buffer(m_request.body));
-    std::uint64_t written = 0;
+    std::uint64_t &written = attempt->bytes.sent;
     const http::ErrorCode error = co_await attempt->connection->write(std::move(buffers), m_deadline - now, written);
     if (error) {
         attempt->connection->close();
@@ -211,6 +211,7 @@
             break;
         }
         attempt->answered = true;
+        attempt->bytes.received += http::fieldBytes(head.headers);
         applyUpstreamFields(*attempt, head);
         ResponseBody body(m_core.responseBudget);
         if (!body.reserve(m_request.method == "HEAD" ? 0 : head.contentLength.value_or(0))) {
@@ -223,6 +224,7 @@
         while (state == http::BodyRead::Data && fits) {
             std::size_t count = 0;
             state = co_await reader.readBody(chunk, count);
+            attempt->bytes.received += count;
             fits = body.append({chunk, count});
         }
         if (!fits) {
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -56,6 +56,13 @@
     return allowed ? std::string() : fmt::format("'{}' is not allowed: expected 1 to 64 characters without spaces and quotes", value);
 }
 
+/// Values of a setting that is off, on or automatic.
+template<typename Mode>
+std::map<std::string, Mode> modes()
+{
+    return {{"off", Mode::Off}, {"on", Mode::On}, {"auto", Mode::Auto}};
+}
+
 using Check = std::string (*)(const std::string &);
 
 template<typename Target>
@@ -126,10 +133,10 @@
     add(app, "--leaving-bound", leavingBound, "LEAVING_BOUND", "Time after which a leaving upstream gets no more requests", checkDuration);
     app.add_option("--shift-limit", settings.shiftLimit, "Fraction of a region's requests that may move to another region within 2 s")
         ->check(CLI::Range(0.001, 1.0));
-    const std::map<std::string, ingress::OverloadMode> overloadModes{
-        {"off", ingress::OverloadMode::Off}, {"on", ingress::OverloadMode::On}, {"auto", ingress::OverloadMode::Auto}};
     app.add_option("--overload-control", settings.overloadControl, "Services whose requests are refused by their cost to callers: off, on or auto")
-        ->transform(CLI::CheckedTransformer(overloadModes));
+        ->transform(CLI::CheckedTransformer(modes<ingress::OverloadMode>()));
+    app.add_option("--measured-capacity", settings.measuredCapacity, "Whether lookups weight this instance by what its requests need: off, on or auto")
+        ->transform(CLI::CheckedTransformer(modes<ingress::CapacityMode>()));
     add(app, "--quota-window", quotaWindow, "QUOTA_WINDOW", "Sliding window of the quotas of accounts; 0s: quotas are not enforced", checkDuration);
     app.add_option("--quota-overshoot", settings.quotaOvershoot, "Fraction by which all instances together may exceed a quota")->check(CLI::Range(0.0, 1.0));
     app.add_option("--quota-slack", settings.quotaSlack, "Requests per window by which all instances together may exceed a quota in addition")
@@ -156,6 +163,7 @@
     settings.leavingBound = parseDuration(leavingBound);
     settings.quotaWindow = parseDuration(quotaWindow);
     settings.resources.processors = processorShare * processorSpeed;
+    settings.resources.processorSpeed = processorSpeed;
     if (settings.retryWindow < std::chrono::milliseconds(100)) {
         throw SettingsError(fmt::format("--retry-window: '{}' is not allowed: expected at least 100ms", retryWindow));
     }
--- a/src/proxy/settings_test.cpp
+++ b/src/proxy/settings_test.cpp
@@ -152,6 +152,17 @@
     BOOST_TEST(errorOf(arguments).find("overload-control") != std::string::npos);
 }
 
+// Guards against a mode of the measured capacity that is read as another one, and against a default other than `auto`.
+BOOST_AUTO_TEST_CASE(measuredCapacityIsOffOnOrAuto)
+{
+    std::vector<std::string> arguments = requiredArguments();
+    BOOST_TEST((parseSettings(arguments, s_variable).measuredCapacity == ingress::CapacityMode::Auto));
+    arguments.push_back("--measured-capacity=off");
+    BOOST_TEST((parseSettings(arguments, s_variable).measuredCapacity == ingress::CapacityMode::Off));
+    arguments.back() = "--measured-capacity=on";
+    BOOST_TEST((parseSettings(arguments, s_variable).measuredCapacity == ingress::CapacityMode::On));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
