Use measured processor times without a conversion of speed

The measured time was multiplied by processor-speed, but deploy/entry.conf.template passes a number of cores there. With 0.1 cores, a request of 0.6 ms would have counted as 0.06 ms, and the capacity would have been four times too high, its bound.

Measured times are now compared with the processors as they are.

--- a/include/trefoilstile/ingress/instance_capacity.hpp
+++ b/include/trefoilstile/ingress/instance_capacity.hpp
@@ -14,7 +14,6 @@
 struct InstanceResources {
     double processors = 1; ///< processors available to the instance, in units of one processor of standard speed
     double linkMegabits = 1'000; ///< Mbit/s in each direction
-    double processorSpeed = 1; ///< speed of a processor as a multiple of the standard one; `processors` includes it
 };
 
 /// Bytes per second that the link carries in each direction.
--- a/src/ingress/measured_requests.cpp
+++ b/src/ingress/measured_requests.cpp
@@ -112,7 +112,7 @@
         }
     } else {
         // The average must not be too low when the clock can be read again.
-        const double constantSeconds = m_resources.processors / processorCapacity(m_resources) / m_resources.processorSpeed;
+        const double constantSeconds = m_resources.processors / processorCapacity(m_resources);
         m_processor.add(static_cast<double>(m_ended) * constantSeconds);
     }
     m_processorTime = use.processorTime;
@@ -146,8 +146,8 @@
     if (!m_processorKnown) {
         return constant;
     }
-    const double secondsPerRequest = std::max(0.0, m_processor.perSecond() / rate) * m_resources.processorSpeed;
-    return bounded((m_resources.processors - controlProcessors() * m_resources.processorSpeed) / secondsPerRequest, constant);
+    const double secondsPerRequest = std::max(0.0, m_processor.perSecond() / rate);
+    return bounded((m_resources.processors - controlProcessors()) / secondsPerRequest, constant);
 }
 
 double MeasuredRequests::controlProcessors() const
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -163,7 +163,6 @@
     settings.leavingBound = parseDuration(leavingBound);
     settings.quotaWindow = parseDuration(quotaWindow);
     settings.resources.processors = processorShare * processorSpeed;
-    settings.resources.processorSpeed = processorSpeed;
     if (settings.retryWindow < std::chrono::milliseconds(100)) {
         throw SettingsError(fmt::format("--retry-window: '{}' is not allowed: expected at least 100ms", retryWindow));
     }
