Bound the memory for request bodies of each caller

Cause: all callers shared one budget for request bodies, so that one caller with many connections could hold all of it, and the uploads of all others were refused.

Change: each caller address has a budget of a quarter, whose shares also count in the whole (`BodyBudget::parent`). All connections of an address use it. A large body of declared length for which there is no memory is refused with 503 as before, but is discarded instead of closing the connection: lingering ends after 256 KB, so that a caller with a larger body could lose the response to a reset.

--- a/include/trefoilstile/http/request_reader.hpp
+++ b/include/trefoilstile/http/request_reader.hpp
@@ -20,6 +20,7 @@
     /// A share may only grow to the size of what would then still be free. Without a list of the shares this divides the budget
     /// fairly: `n` bodies that grow without end get one part in `n + 1` each, and the part that stays free serves small bodies.
     bool fair = false;
+    std::shared_ptr<BodyBudget> parent{}; ///< budget that this one is a part of; what is held counts in both
 };
 
 /// Part of the budget that one request or response holds; given back on destruction.
@@ -44,12 +45,12 @@
     }
     ~BodyShare()
     {
-        if (m_budget) {
-            m_budget->held -= m_bytes;
+        for (BodyBudget *budget = m_budget.get(); budget != nullptr; budget = budget->parent.get()) {
+            budget->held -= m_bytes;
         }
     }
 
-    /// Grows the share to `bytes`; false if the budget does not allow it.
+    /// Grows the share to `bytes`; false if the budget or one that it is a part of does not allow it.
     bool growTo(std::uint64_t bytes);
 
 private:
--- a/include/trefoilstile/proxy/caller_listener.hpp
+++ b/include/trefoilstile/proxy/caller_listener.hpp
@@ -2,11 +2,14 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <boost/asio/ip/address.hpp>
+
 #include "trefoilstile/http/listener.hpp"
 #include "trefoilstile/http/operator_server.hpp"
 #include "trefoilstile/proxy/caller_session.hpp"
@@ -34,12 +37,16 @@
 
 private:
     void acceptConnection(boost::asio::ip::tcp::socket socket);
+    /// The part of the body budget that all connections of a caller share.
+    std::shared_ptr<http::BodyBudget> budgetOf(const boost::asio::ip::address &caller);
 
     EntryCore &m_core;
     std::shared_ptr<http::BodyBudget> m_bodyBudget;
     std::shared_ptr<http::Listener> m_listener;
     std::vector<std::weak_ptr<CallerSession>> m_sessions; ///< may contain ended sessions
     std::size_t m_pruneThreshold = 64; ///< size of `m_sessions` at which ended sessions are removed
+    std::map<boost::asio::ip::address, std::weak_ptr<http::BodyBudget>> m_callerBudgets; ///< may contain those of callers that have left
+    std::size_t m_budgetPruneThreshold = 64; ///< size of `m_callerBudgets` at which those are removed
 };
 
 } // namespace trefoilstile::proxy
--- a/include/trefoilstile/proxy/caller_session.hpp
+++ b/include/trefoilstile/proxy/caller_session.hpp
@@ -21,6 +21,7 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
+    /// @param bodyBudget memory for the request bodies of the caller
     CallerSession(EntryCore &core, boost::asio::ip::tcp::socket socket, std::shared_ptr<http::BodyBudget> bodyBudget);
     ~CallerSession();
     CallerSession(const CallerSession &) = delete;
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -163,12 +163,16 @@
     if (!m_budget) {
         return false;
     }
-    const std::uint64_t free = m_budget->limit - std::min(m_budget->limit, m_budget->held);
     const std::uint64_t wanted = bytes - m_bytes;
-    if (free < wanted || (m_budget->fair && free - wanted < bytes)) {
-        return false;
+    for (const BodyBudget *budget = m_budget.get(); budget != nullptr; budget = budget->parent.get()) {
+        const std::uint64_t free = budget->limit - std::min(budget->limit, budget->held);
+        if (free < wanted || (budget->fair && free - wanted < bytes)) {
+            return false;
+        }
+    }
+    for (BodyBudget *budget = m_budget.get(); budget != nullptr; budget = budget->parent.get()) {
+        budget->held += wanted;
     }
-    m_budget->held += bytes - m_bytes;
     m_bytes = bytes;
     return true;
 }
--- a/src/proxy/caller_listener.cpp
+++ b/src/proxy/caller_listener.cpp
@@ -17,6 +17,16 @@
 /// Fraction of the memory used for request bodies held at the same time.
 constexpr double s_bodyMemoryShare = 0.2;
 
+/// Part of the memory for request bodies that the connections of one caller address hold at most, so that one caller cannot take the
+/// memory of all others. Not less, because many callers may share the address of a proxy.
+constexpr std::uint64_t s_callerBudgetParts = 4;
+
+/// Size at which a container is pruned next, after it has been pruned to `size`.
+std::size_t nextPruneThreshold(std::size_t size)
+{
+    return std::max<std::size_t>(64, 2 * size);
+}
+
 } // namespace
 
 CallerListener::CallerListener(EntryCore &core)
@@ -37,17 +47,38 @@
         m_core.metrics.increment("trefoilstile_caller_connections_refused_total", {});
         return; // closes the socket; no request has been read, so the caller can safely try another instance
     }
-    const auto session = std::make_shared<CallerSession>(m_core, std::move(socket), m_bodyBudget);
+    http::ErrorCode ignored; // the connection may have failed already; the session notices
+    std::shared_ptr<http::BodyBudget> budget = budgetOf(socket.remote_endpoint(ignored).address());
+    const auto session = std::make_shared<CallerSession>(m_core, std::move(socket), std::move(budget));
     if (m_sessions.size() >= m_pruneThreshold) {
         std::erase_if(m_sessions, [](const auto &weak) {
             return weak.expired();
         });
-        m_pruneThreshold = std::max<std::size_t>(64, 2 * m_sessions.size());
+        m_pruneThreshold = nextPruneThreshold(m_sessions.size());
     }
     m_sessions.push_back(session);
     session->start();
 }
 
+std::shared_ptr<http::BodyBudget> CallerListener::budgetOf(const boost::asio::ip::address &caller)
+{
+    if (m_callerBudgets.size() >= m_budgetPruneThreshold) {
+        std::erase_if(m_callerBudgets, [](const auto &entry) {
+            return entry.second.expired();
+        });
+        m_budgetPruneThreshold = nextPruneThreshold(m_callerBudgets.size());
+    }
+    std::weak_ptr<http::BodyBudget> &known = m_callerBudgets[caller];
+    std::shared_ptr<http::BodyBudget> budget = known.lock();
+    if (!budget) {
+        budget = std::make_shared<http::BodyBudget>();
+        budget->limit = m_bodyBudget->limit / s_callerBudgetParts;
+        budget->parent = m_bodyBudget;
+        known = budget;
+    }
+    return budget;
+}
+
 void CallerListener::closeIdleSessions()
 {
     for (const auto &weak : m_sessions) {
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -121,7 +121,12 @@
             m_readingBody = true;
             exchange = std::make_shared<Exchange>(m_core, std::move(request), http::now());
             if (reader.largeBody()) {
-                if (auto refusal = refuseAtHead(*exchange)) {
+                std::optional<CallerResponse> refusal = refuseAtHead(*exchange);
+                if (!refusal && !share.growTo(reader.declaredLength())) {
+                    refusal = localResponse(503);
+                    logRejection(503, "no memory for the body");
+                }
+                if (refusal) {
                     co_await answerAndDiscard(reader, std::move(*refusal), keepAlive);
                     continue;
                 }
--- a/src/proxy/upload_fixture.hpp
+++ b/src/proxy/upload_fixture.hpp
@@ -79,6 +79,7 @@
 inline void limitMemory(EntryFixture &entry, double megabytes)
 {
     entry.core.settings.memoryMegabytes = megabytes;
+    entry.core.responseBudget->limit = static_cast<std::uint64_t>(megabytes * 250'000); // as in `EntryCore`
     entry.listener = std::make_unique<CallerListener>(entry.core);
 }
 
