Limit the bytes of request bodies in flight at one upstream

Cause: an upstream crashes if the requests that it holds exceed its memory, whose size is unknown. Placement looked at requests only, so that several large uploads could be at one upstream while others had none.

Change: each instance counts the body bytes of its attempts at each upstream. With the new setting `upstream-body-bytes` (0, the default: no limit), a body of more than 16 KiB is placed only where the bytes stay within the setting divided by the number of members, or where none are in flight. Otherwise the upstream has no room: another one is chosen, or the response is 503 with `Retry-After`, from the head already. Smaller bodies are counted and never refused.

--- a/include/trefoilstile/ingress/placement.hpp
+++ b/include/trefoilstile/ingress/placement.hpp
@@ -125,11 +125,16 @@
     std::size_t connectionLimit = 1'000'000; ///< connections that this instance may have to one upstream
     std::function<bool(const Upstream &)> reusable{}; ///< whether an open connection to the upstream is free for the request; empty: none is
     RequestStage stage = RequestStage::Whole;
+    std::uint64_t bodyBytes{}; ///< size of a body that counts towards `bodyLimit`; 0: none
+    std::uint64_t bodyLimit{}; ///< bytes of bodies that this instance may have in flight at one upstream, but at least one body
 };
 
 /// True if upstreams of the region may serve the request. The regions of the route and those of the account both bind.
 bool mayServe(const PlacementRequest &request, std::string_view region);
 
+/// True if the body of the request fits beside those in flight at the upstream.
+bool fitsBody(const PlacementRequest &request, const Upstream &upstream);
+
 struct PlacementResult {
     PlacementOutcome outcome = PlacementOutcome::NoUpstream;
     PlacementReason reason = PlacementReason::None;
--- a/include/trefoilstile/ingress/upstream_table.hpp
+++ b/include/trefoilstile/ingress/upstream_table.hpp
@@ -134,6 +134,7 @@
     std::optional<base::TimePoint> removeAt; ///< set if the entry is missing: time of removal, unless the upstream is reported again before
 
     std::uint32_t outstanding{}; ///< requests of this instance in flight at the upstream
+    std::uint64_t bodyBytes{}; ///< bodies of the requests of this instance in flight at the upstream
     std::uint32_t openConnections{}; ///< connections of this instance to the upstream
     ConnectionBackOff connectionBackOff;
     std::shared_ptr<ConnectionRestraint> connectionRestraint; ///< of the service
--- a/include/trefoilstile/proxy/caller_session.hpp
+++ b/include/trefoilstile/proxy/caller_session.hpp
@@ -46,7 +46,7 @@
     boost::asio::awaitable<void> readRequests();
     http::RequestLimits requestLimits() const;
     /// Response to a request that is refused before its body is read, or nothing.
-    std::optional<CallerResponse> refuseAtHead(Exchange &exchange);
+    std::optional<CallerResponse> refuseAtHead(Exchange &exchange, std::uint64_t bodyBytes);
     /// Answers a request whose body has not been read, and discards the body.
     boost::asio::awaitable<void> answerAndDiscard(http::RequestReader &reader, CallerResponse response, bool keepAlive);
     /// Queues the response to a request that could not be read; no further ones are.
--- a/include/trefoilstile/proxy/entry_core.hpp
+++ b/include/trefoilstile/proxy/entry_core.hpp
@@ -48,6 +48,9 @@
     /// number of instances, but at least 2.
     std::size_t connectionLimit(std::string_view service) const;
 
+    /// Bytes of bodies that this instance may have in flight at one upstream; 0: not limited.
+    std::uint64_t upstreamBodyLimit() const;
+
     /// Logs an event if placement started or stopped avoiding the upstream since the last such event.
     void logHealth(ingress::Upstream &upstream, base::TimePoint now);
 
--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -53,7 +53,8 @@
 
     /// Decides from the head of the request, while its body arrives, whether it is refused; returns the response if it is. Call before
     /// `run` if at all, at most once.
-    std::optional<CallerResponse> refuseAtHead();
+    /// @param bodyBytes length of the body; if it is unknown, the least that it may have
+    std::optional<CallerResponse> refuseAtHead(std::uint64_t bodyBytes);
 
     /// Adds the body of a request. What was decided at the head is decided again by `run`.
     void bodyArrived(std::string body, base::TimePoint now);
@@ -78,6 +79,7 @@
         std::optional<base::TimePoint> quotaTakenAt; ///< set if the attempt counts against the quota of an account
         base::TimePoint endedAt;
         std::optional<base::TimePoint> connectedAt; ///< set if the attempt has opened its connection
+        std::uint64_t bodyBytes{}; ///< counted in `Upstream::bodyBytes`
         bool answered = false; ///< the head of a response has been received
         bool aborted = false;
         bool ended = false;
@@ -182,6 +184,7 @@
     bool m_mayHaveRun = false; ///< an attempt ended without proof that it did not run, or was unfinished at the deadline
     bool m_cancelled = false;
     bool m_preparedAtHead = false; ///< `refuseAtHead` let the request pass
+    std::uint64_t m_bodyBytes{}; ///< size of the body as far as it is known
     ingress::RequestStage m_stage = ingress::RequestStage::Whole;
     std::string m_outcome; ///< for the log and the metrics
     ingress::PlacementResult m_lastPlacement; ///< by `startAttempt`, for the log
--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -45,6 +45,11 @@
     return isHome(request.route.homeRegions, region) && (request.account == nullptr || isHome(request.account->homeRegions, region));
 }
 
+bool fitsBody(const PlacementRequest &request, const Upstream &upstream)
+{
+    return request.bodyBytes == 0 || upstream.bodyBytes == 0 || upstream.bodyBytes + request.bodyBytes <= request.bodyLimit;
+}
+
 Placement::ServiceState &Placement::state(std::string_view service)
 {
     auto found = m_services.find(service);
@@ -247,6 +252,9 @@
 
 bool Placement::hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const
 {
+    if (!fitsBody(request, **candidate.upstream)) {
+        return false;
+    }
     const bool cold = candidate.rank != 0 && !candidate.warm;
     const double coldLimit = controlled.control == nullptr ? m_options.coldUtilizationLimit : m_options.overload.coldUtilizationLimit;
     if (cold && candidate.load + 1 > candidate.slots * coldLimit) {
@@ -321,7 +329,8 @@
     if (local.front().cost > spillThreshold) {
         const std::vector<Candidate> remote = candidates(request, ranked(request, otherGroups, m_options.candidateLimit, now).inUse, now);
         const auto best = std::min_element(remote.begin(), remote.end(), lowerCost);
-        const bool better = best != remote.end() && best->load + 1 <= best->slots && best->cost < local.front().cost;
+        const bool free = best != remote.end() && best->load + 1 <= best->slots && fitsBody(request, **best->upstream);
+        const bool better = free && best->cost < local.front().cost;
         if (better && (headOnly || service.spill.tryTake(now)) && tryChoose(*best, PlacementReason::Spill)) {
             return result;
         }
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -121,7 +121,7 @@
             m_readingBody = true;
             exchange = std::make_shared<Exchange>(m_core, std::move(request), http::now());
             if (reader.largeBody()) {
-                std::optional<CallerResponse> refusal = refuseAtHead(*exchange);
+                std::optional<CallerResponse> refusal = refuseAtHead(*exchange, std::max(reader.declaredLength(), http::s_smallBody + 1));
                 if (!refusal && !share.growTo(reader.declaredLength())) {
                     refusal = localResponse(503);
                     logRejection(503, "no memory for the body");
@@ -178,10 +178,10 @@
     }
 }
 
-std::optional<CallerResponse> CallerSession::refuseAtHead(Exchange &exchange)
+std::optional<CallerResponse> CallerSession::refuseAtHead(Exchange &exchange, std::uint64_t bodyBytes)
 {
     try {
-        return exchange.refuseAtHead();
+        return exchange.refuseAtHead(bodyBytes);
     } catch (...) {
         logActivityFailure(m_core, "request_head", describe(std::current_exception()));
         return localResponse(503); // nothing of the request has been sent
--- a/src/proxy/entry_core.cpp
+++ b/src/proxy/entry_core.cpp
@@ -181,6 +181,12 @@
     return std::max<std::size_t>(minimum, description->second.maximumConnections / std::max<std::size_t>(1, members.value()));
 }
 
+std::uint64_t EntryCore::upstreamBodyLimit() const
+{
+    const std::uint64_t limit = settings.upstreamBodyBytes;
+    return limit == 0 ? 0 : std::max<std::uint64_t>(1, limit / std::max<std::size_t>(1, members.value()));
+}
+
 void EntryCore::advance(base::TimePoint now)
 {
     upstreamTable.advance(now);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -84,6 +84,7 @@
     : m_core(core)
     , m_request(std::move(request))
     , m_arrivedAt(arrivedAt)
+    , m_bodyBytes(m_request.body.size())
     , m_wakeUpTimer(core.context)
 {
     if (const std::string *id = http::findHeader(m_request.headers, m_core.names.requestId)) {
@@ -235,6 +236,10 @@
     }
     ingress::PlacementRequest request{m_route->route, m_service, m_key, tried, m_deadline - now, m_account.get(), m_core.connectionLimit(m_service)};
     request.stage = m_stage;
+    if (const std::uint64_t limit = m_core.upstreamBodyLimit(); limit > 0 && m_bodyBytes > http::s_smallBody) {
+        request.bodyBytes = m_bodyBytes;
+        request.bodyLimit = limit;
+    }
     request.reusable = [this, now](const ingress::Upstream &upstream) {
         return m_core.connections.has(upstream.report.id, now);
     };
@@ -312,6 +317,8 @@
     attempt->speed = m_core.upstreamTable.speedFactor(*placed.upstream, now);
     attempt->loadAge = placed.upstream->loadUpdatedAt == base::TimePoint() ? base::Duration(-1) : now - placed.upstream->loadUpdatedAt;
     attempt->startedAt = now;
+    attempt->bodyBytes = m_request.body.size();
+    placed.upstream->bodyBytes += attempt->bodyBytes;
     if (!m_unusedQuota.empty()) {
         attempt->quotaTakenAt = m_unusedQuota.back();
         m_unusedQuota.pop_back();
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -69,6 +69,7 @@
 void Exchange::endAttempt(Attempt &attempt, AttemptEnd end)
 {
     attempt.endedAt = http::now();
+    attempt.upstream->bodyBytes -= std::exchange(attempt.bodyBytes, 0);
     if (attempt.aborted && !end.response) {
         end.verdict = m_cancelled ? AttemptVerdict::Cancelled : AttemptVerdict::TimedOut;
     }
--- a/src/proxy/exchange_head.cpp
+++ b/src/proxy/exchange_head.cpp
@@ -88,8 +88,9 @@
     return renewQuota();
 }
 
-std::optional<CallerResponse> Exchange::refuseAtHead()
+std::optional<CallerResponse> Exchange::refuseAtHead(std::uint64_t bodyBytes)
 {
+    m_bodyBytes = bodyBytes;
     m_stage = ingress::RequestStage::Head;
     std::optional<CallerResponse> response = prepare();
     if (!response) {
@@ -112,6 +113,7 @@
 void Exchange::bodyArrived(std::string body, base::TimePoint now)
 {
     m_request.body = std::move(body);
+    m_bodyBytes = m_request.body.size();
     m_arrivedAt = now;
 }
 
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -130,6 +130,8 @@
         {"off", ingress::OverloadMode::Off}, {"on", ingress::OverloadMode::On}, {"auto", ingress::OverloadMode::Auto}};
     app.add_option("--overload-control", settings.overloadControl, "Services whose requests are refused by their cost to callers: off, on or auto")
         ->transform(CLI::CheckedTransformer(overloadModes));
+    app.add_option("--upstream-body-bytes", settings.upstreamBodyBytes, "Bytes of request bodies in flight at one upstream, over all instances; 0: no limit")
+        ->check(CLI::Range(0.0, 1e15));
     add(app, "--quota-window", quotaWindow, "QUOTA_WINDOW", "Sliding window of the quotas of accounts; 0s: quotas are not enforced", checkDuration);
     app.add_option("--quota-overshoot", settings.quotaOvershoot, "Fraction by which all instances together may exceed a quota")->check(CLI::Range(0.0, 1.0));
     app.add_option("--quota-slack", settings.quotaSlack, "Requests per window by which all instances together may exceed a quota in addition")
--- a/src/proxy/settings_test.cpp
+++ b/src/proxy/settings_test.cpp
@@ -152,6 +152,17 @@
     BOOST_TEST(errorOf(arguments).find("overload-control") != std::string::npos);
 }
 
+// Guards against a limit for bodies where the settings ask for none, and against one that is read wrongly.
+BOOST_AUTO_TEST_CASE(upstreamBodyBytesAreUnlimitedUnlessSet)
+{
+    std::vector<std::string> arguments = requiredArguments();
+    BOOST_TEST(parseSettings(arguments, s_variable).upstreamBodyBytes == 0U);
+    arguments.push_back("--upstream-body-bytes=40000000");
+    BOOST_TEST(parseSettings(arguments, s_variable).upstreamBodyBytes == 40'000'000U);
+    arguments.back() = "--upstream-body-bytes=-1";
+    BOOST_TEST(errorOf(arguments).find("upstream-body-bytes") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
--- a/src/proxy/upload_refusal_test.cpp
+++ b/src/proxy/upload_refusal_test.cpp
@@ -213,6 +213,33 @@
     BOOST_TEST(admittedNow(entry) == 3);
 }
 
+// Guards against more bytes of bodies at one upstream than this instance's part of the limit, against a limit that stops small requests
+// or a single large body, and against bytes that stay counted after an attempt has ended.
+BOOST_AUTO_TEST_CASE(bodiesInFlightAtAnUpstreamAreLimited)
+{
+    for (const int upstreams : {1, 2}) {
+        EntryFixture entry(
+            [](const std::string &received) {
+                return ScriptedReply{signedResponse(idOf(received), "hello"), false, received.starts_with("POST") ? 300ms : 0ms};
+            },
+            upstreams);
+        entry.core.settings.upstreamBodyBytes = 4 * s_uploadBytes - 1;
+        entry.core.members.observe(2, http::now());
+        Caller first(entry);
+        BOOST_TEST(first.exchange(upload("/holds/1", "r1", s_uploadBytes), "hello", 100ms) == "");
+        const std::string second = Caller(entry).exchange(upload("/holds/1", "r2", s_uploadBytes), "\r\n\r\n");
+        BOOST_TEST(startsWith(second, upstreams == 1 ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+        BOOST_TEST((second.find("Retry-After: ") != std::string::npos) == (upstreams == 1));
+        BOOST_TEST(startsWith(entry.send(request("/reads/1", "r3"), "hello"), "HTTP/1.1 200"));
+        BOOST_TEST(startsWith(first.exchange("", "hello"), "HTTP/1.1 200"));
+        entry.core.settings.upstreamBodyBytes = 1;
+        BOOST_TEST(startsWith(Caller(entry).exchange(upload("/holds/1", "r4", s_uploadBytes), "hello"), "HTTP/1.1 200"));
+        for (const auto &upstream : entry.core.upstreamTable.ofService("ledger")) {
+            BOOST_TEST(upstream->bodyBytes == 0U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
