--- a/src/ingress/placement.cpp
+++ b/src/ingress/placement.cpp
@@ -43,6 +43,11 @@
     return isHome(request.route.homeRegions, region) && (request.account == nullptr || isHome(request.account->homeRegions, region));
 }
 
+bool fitsBody(const PlacementRequest &request, const Upstream &upstream)
+{
+    return request.bodyBytes == 0 || upstream.bodyBytes == 0 || upstream.bodyBytes + request.bodyBytes <= request.bodyLimit;
+}
+
 Placement::ServiceState &Placement::state(std::string_view service)
 {
     auto found = m_services.find(service);
@@ -156,6 +161,9 @@
 
 bool Placement::hasRoom(const Candidate &candidate, const PlacementRequest &request, const ControlledRequest &controlled) const
 {
+    if (!fitsBody(request, **candidate.upstream)) {
+        return false;
+    }
     const bool cold = candidate.rank != 0 && !candidate.warm;
     const double coldLimit = controlled.control == nullptr ? m_options.coldUtilizationLimit : m_options.overload.coldUtilizationLimit;
     if (cold && candidate.load + 1 > candidate.slots * coldLimit) {
@@ -193,8 +201,8 @@
     const Ranking ranking = ranked(decision.request, others, m_options.candidateLimit, decision.now);
     const std::vector<Candidate> remote = candidates(decision.request, ranking.inUse, decision.now);
     const auto best = std::min_element(remote.begin(), remote.end(), lowerCost);
-    const bool better = best != remote.end() && best->load + 1 <= best->slots && best->cost < local.cost;
-    const bool allowed = better && (decision.request.stage == RequestStage::Head || decision.service.spill.tryTake(decision.now));
+    const bool free = best != remote.end() && best->load + 1 <= best->slots && fitsBody(decision.request, **best->upstream);
+    const bool allowed = free && best->cost < local.cost && (decision.request.stage == RequestStage::Head || decision.service.spill.tryTake(decision.now));
     return allowed && take(decision, *best, PlacementReason::Spill);
 }
 
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -137,6 +137,8 @@
         ->transform(CLI::CheckedTransformer(modes<ingress::OverloadMode>()));
     app.add_option("--measured-capacity", settings.measuredCapacity, "Whether lookups weight this instance by what its requests need: off, on or auto")
         ->transform(CLI::CheckedTransformer(modes<ingress::CapacityMode>()));
+    app.add_option("--upstream-body-bytes", settings.upstreamBodyBytes, "Bytes of request bodies in flight at one upstream, over all instances; 0: no limit")
+        ->check(CLI::Range(0.0, 1e15));
     add(app, "--quota-window", quotaWindow, "QUOTA_WINDOW", "Sliding window of the quotas of accounts; 0s: quotas are not enforced", checkDuration);
     app.add_option("--quota-overshoot", settings.quotaOvershoot, "Fraction by which all instances together may exceed a quota")->check(CLI::Range(0.0, 1.0));
     app.add_option("--quota-slack", settings.quotaSlack, "Requests per window by which all instances together may exceed a quota in addition")
--- a/src/proxy/upload_fixture.hpp
+++ b/src/proxy/upload_fixture.hpp
@@ -10,6 +10,14 @@
 
 inline constexpr std::size_t s_uploadBytes = 360'000;
 
+/// Makes all routes those of uploads.
+inline void expectUploads(EntryFixture &entry)
+{
+    for (ingress::Route &route : entry.core.configuration.routes) {
+        route.largeBodies = true;
+    }
+}
+
 /// A connection to the entry.
 class Caller
 {
@@ -19,9 +27,7 @@
         : m_entry(entry)
         , m_socket(entry.context, tcp::endpoint(boost::asio::ip::make_address(source), 0))
     {
-        for (ingress::Route &route : entry.core.configuration.routes) {
-            route.largeBodies = true;
-        }
+        expectUploads(entry);
         m_socket.connect(http::parseEndpoint(entry.listener->address()));
     }
 
@@ -82,7 +88,9 @@
 inline void limitMemory(EntryFixture &entry, double megabytes)
 {
     entry.core.settings.memoryMegabytes = megabytes;
+    entry.core.responseBudget->limit = static_cast<std::uint64_t>(megabytes * 250'000); // as in `EntryCore`
     entry.listener = std::make_unique<CallerListener>(entry.core);
+    expectUploads(entry);
 }
 
 } // namespace trefoilstile::proxy::testing
