Say why a repeat after a rejected order does not run

Cause: process_at_most_once failed once in a run of all tests with a load average of 20: repeatAfterNotRunMayRun waited 60 s for status 200. The message did not tell whether the repeats were refused, or the rejected orders had the outcome 'unknown', which stays and is allowed by the checks before.

Change: the failure message names the last status and outcome, and the outcomes of the rejected orders. The check is the same.

The cause is not known.

--- a/tests/process/at_most_once_test.cpp
+++ b/tests/process/at_most_once_test.cpp
@@ -150,10 +150,13 @@
     BOOST_TEST(fleet.executionsOf(key) == 0U);
     setMode(fleet, {{"reject_next", 0}});
     HttpResponse response;
-    BOOST_TEST(waitUntil([&] {
+    const bool ran = waitUntil([&] {
         response = call(fleet.instance("entry-0").callers, order(key));
         return response.status == 200;
-    }));
+    });
+    BOOST_TEST(ran,
+        "the repeat got status " << response.status << " and outcome '" << response.header("trefoilstile-outcome") << "', the rejected orders '"
+                                 << rejected[0].header("trefoilstile-outcome") << "' and '" << rejected[1].header("trefoilstile-outcome") << "'");
     checkOutcomes({response}, fleet.executionsOf(key));
 }
 
