Reduce the processor time of the usage aggregator

Cause: the sums are computed up to 20 times per second from every account of every sender, with four hash look-ups for each, and ages were rounded in floating point. Replies searched the report for every account and stored what was told of accounts with little use.

Change: the target is part of the sum, ages are rounded in integers, counts of former incarnations are added only while they are in the window, and accounts with little use are passed over first.

--- a/include/trefoilstile/quota/usage_aggregator.hpp
+++ b/include/trefoilstile/quota/usage_aggregator.hpp
@@ -93,6 +93,7 @@
     };
 
     struct Sum {
+        double target{}; ///< of the account
         SlotCounts slots; ///< members of this failure domain that report
         double demand{}; ///< members of this failure domain
         double reserved{}; ///< for silent members of this failure domain
--- a/src/quota/usage_aggregator.cpp
+++ b/src/quota/usage_aggregator.cpp
@@ -67,6 +67,12 @@
             }
         }
     }
+    std::erase_if(m_sums, [this](const auto &entry) {
+        return !m_limits.contains(entry.first);
+    });
+    for (auto &[id, sum] : m_sums) {
+        sum.target = m_limits.at(id).target;
+    }
     m_refreshedAt = base::TimePoint();
 }
 
@@ -157,19 +163,24 @@
     // Until a sender is considered silent, its use is assumed to go on.
     const bool overdue = !silent && now - source.heardAt > s_overdue;
     for (auto &[id, record] : source.records) {
-        const auto limits = m_limits.find(id);
-        if (limits == m_limits.end()) {
-            continue;
+        auto found = m_sums.find(id);
+        if (found == m_sums.end()) {
+            const auto limits = m_limits.find(id);
+            if (limits == m_limits.end()) {
+                continue;
+            }
+            found = m_sums.try_emplace(id).first;
+            found->second.target = limits->second.target;
         }
-        Sum &sum = m_sums[id];
+        Sum &sum = found->second;
         record.summed = record.slots;
         const double used = record.slots.total(m_slotTime, now);
-        const double reserved = record.reserved + (silent ? std::max(0.0, record.share * limits->second.target - used) : 0);
+        const double reserved = record.reserved + (silent ? std::max(0.0, record.share * sum.target - used) : 0);
         SlotCounts &slots = member ? sum.slots : sum.otherSlots;
         slots.add(record.slots, m_slotTime, now);
-        if (member) {
+        if (member && now < record.formerUntil) {
             slots.add(record.former, m_slotTime, now);
-        } else {
+        } else if (!member) {
             slots.add(record.missing, m_slotTime, now);
             sum.missing += record.missing.total(m_slotTime, now);
         }
@@ -214,7 +225,7 @@
     forgetSilent(m_sources, now);
     forgetSilent(m_domains, now);
     for (auto &[id, sum] : m_sums) {
-        const Sum fresh{{}, 0, 0, sum.announcedDemand, sum.announcedUse, {}, 0, 0, 0, sum.announcedAt};
+        const Sum fresh{sum.target, {}, 0, 0, sum.announcedDemand, sum.announcedUse, {}, 0, 0, 0, sum.announcedAt};
         sum = fresh;
     }
     for (auto &[name, source] : m_sources) {
@@ -225,8 +236,7 @@
     }
     std::erase_if(m_sums, [&](const auto &entry) {
         const Sum &sum = entry.second;
-        return !m_limits.contains(entry.first)
-            || (sum.demand + sum.otherDemand + sum.reserved + sum.otherReserved == 0 && sum.slots.total(m_slotTime, now) == 0);
+        return sum.demand + sum.otherDemand + sum.reserved + sum.otherReserved == 0 && sum.slots.total(m_slotTime, now) == 0;
     });
     updateShares(now);
 }
@@ -240,7 +250,7 @@
             }
             for (auto &[id, record] : source.records) {
                 if (const auto sum = m_sums.find(id); sum != m_sums.end()) {
-                    record.share = share(source, record, sum->second, m_limits.at(id).target);
+                    record.share = share(source, record, sum->second, sum->second.target);
                 }
             }
         }
@@ -273,7 +283,7 @@
     }
     const double part = (demand + even / static_cast<double>(m_members)) / std::max(1.0, known + sum.otherDemand + even);
     // A new incarnation gets what the attempts of the former one leave of its share.
-    const double former = record != nullptr ? record->former.total(m_slotTime, now) / target : 0;
+    const double former = record != nullptr && now < record->formerUntil ? record->former.total(m_slotTime, now) / target : 0;
     return std::max(0.0, remainingPart(sum, target) * part - former);
 }
 
@@ -305,7 +315,7 @@
     Source &receiver = m_sources[member];
     std::vector<AccountUsage> usages;
     const auto add = [&](AccountId id, Sum &sum) {
-        const double target = m_limits.at(id).target;
+        const double target = sum.target;
         SlotCounts others = sum.slots;
         others.add(sum.otherSlots, m_slotTime, std::max(sum.slots.takenAt(), sum.otherSlots.takenAt()));
         const auto own = receiver.records.find(id);
@@ -321,14 +331,19 @@
             static_cast<std::uint32_t>(std::clamp(share, 0.0, 1.0) * 1e6)});
     };
     for (auto &[id, sum] : m_sums) {
-        const double target = m_limits.at(id).target;
+        const double target = sum.target;
         const double used = sum.slots.latest(s_slots) + sum.otherSlots.latest(s_slots) + sum.reserved + sum.otherReserved;
-        const bool reported = report != nullptr && std::any_of(report->usages.begin(), report->usages.end(), [account = id](const AccountUsage &usage) {
-            return usage.account == account;
-        });
         const bool limited = report != nullptr && sum.demand + sum.otherDemand > target;
+        const bool reported =
+            report != nullptr && !limited && std::any_of(report->usages.begin(), report->usages.end(), [account = id](const AccountUsage &usage) {
+                return usage.account == account;
+            });
+        const bool noticed = used > s_noticedUse * target;
+        if (!limited && !reported && !noticed) {
+            continue;
+        }
         double &told = receiver.told[id];
-        if (reported || limited || (used > s_noticedUse * target && isMuch(used - told, target))) {
+        if (limited || reported || isMuch(used - told, target)) {
             add(id, sum);
             told = used;
         }
@@ -343,7 +358,7 @@
     std::vector<AccountUsage> usages;
     for (auto &[id, sum] : m_sums) {
         const bool empty = sum.demand + sum.reserved == 0 && sum.slots.total(m_slotTime, now) == 0;
-        const double target = m_limits.at(id).target;
+        const double target = sum.target;
         const bool due = watched(sum, target) || hasChanged(sum, target) || now - sum.announcedAt >= s_slowAnnouncement;
         if (empty || !due) {
             continue;
@@ -374,7 +389,7 @@
 {
     refresh(now);
     return std::any_of(m_sums.begin(), m_sums.end(), [this](const auto &entry) {
-        return hasChanged(entry.second, m_limits.at(entry.first).target);
+        return hasChanged(entry.second, entry.second.target);
     });
 }
 
--- a/src/quota/usage_window.cpp
+++ b/src/quota/usage_window.cpp
@@ -81,8 +81,8 @@
 
 std::size_t agedBy(base::Duration age, base::Duration slotTime)
 {
-    const double slots = std::round(base::toSeconds(std::max(age, base::Duration::zero())) / base::toSeconds(slotTime));
-    return static_cast<std::size_t>(std::min(slots, static_cast<double>(s_slots)));
+    const std::int64_t slots = (std::max(age, base::Duration::zero()) + slotTime / 2) / slotTime;
+    return static_cast<std::size_t>(std::min<std::int64_t>(slots, s_slots));
 }
 
 } // namespace
