--- a/src/quota/quota_gate.cpp
+++ b/src/quota/quota_gate.cpp
@@ -1,4 +1,4 @@
-// Admission by the own count, the known counts of the other instances, and the own share while demand exceeds the quota.
+// Counts, reports and replies of the gate.
 
 #include "trefoilstile/quota/quota_gate.hpp"
 
@@ -10,38 +10,9 @@
 namespace
 {
 
-/// An account is limited by shares if its demand exceeds the granted requests by this part of the room up to the bound. Below, all
-/// requests are admitted while the sum of the known counts is below the target, however uneven callers are.
-constexpr double s_hotRoom = 0.25;
-
-/// Accounts that are limited by lot: the attempts that leave the window within the next slots are replaced, and the difference to the
-/// target is made up within the correction time, which is twice the usual age of the news, so that the use does not oscillate.
-constexpr std::size_t s_expiringSlots = 1;
-constexpr base::Duration s_correctionTime = std::chrono::milliseconds(1'000);
-
 /// Shortest time over which the growth of the demand is measured.
 constexpr base::Duration s_growthTime = std::chrono::milliseconds(400);
 
-/// Slots at the start of the counts of others from which their present rate is taken. On average half of the latest one has passed.
-constexpr std::size_t s_rateSlots = 2;
-constexpr double s_rateSlotTimes = 1.5;
-
-/// Attempts by which the mean rate of the window is weighted in the present rate, so that a few attempts in a row are not taken for one.
-constexpr double s_meanWeight = 4;
-
-/// From this many requests per window, the share of an instance is a limit of its own while the account is limited. Smaller shares are
-/// kept by lot: an instance with a share of 0.4 requests cannot count up to it.
-constexpr double s_countedShare = 4;
-
-/// Attempts beyond its share that an instance may admit while demand is within the quota, because requests arrive at random and shares
-/// are told late: a part of the room between target and bound, divided among the instances.
-constexpr double s_toleranceRoom = 0.6;
-constexpr double s_minimumTolerance = 0.7;
-constexpr double s_maximumTolerance = 4;
-
-/// An instance is limited to its share if the use would reach the target within this time at the present rate.
-constexpr base::Duration s_lookAhead = std::chrono::milliseconds(800);
-
 /// Requests since the last report from which an instance reports at once, and the same as a part of its share.
 constexpr double s_urgentRequests = 2;
 constexpr double s_urgentPart = 0.1;
@@ -56,10 +27,6 @@
 /// Time between reports of an account with little use. It also keeps the share in effect that the instance has if it is cut off.
 constexpr base::Duration s_slowReport = std::chrono::milliseconds(1'500);
 
-/// Requests per window that an instance which has just started admits of each account before its first news, which takes one round trip
-/// after the join. Few instances start at the same time.
-constexpr double s_startAllowance = 2;
-
 constexpr base::Duration s_minimumRetryAfter = std::chrono::milliseconds(200);
 constexpr double s_retryAfterSpread = 0.4;
 
@@ -117,102 +84,6 @@
     }
 }
 
-bool QuotaGate::informed(base::TimePoint now) const
-{
-    return m_repliedAt && now - *m_repliedAt <= m_options.newsLifetime;
-}
-
-bool QuotaGate::hot(const Account &account, base::TimePoint now) const
-{
-    const double threshold = account.limits.granted + s_hotRoom * (account.limits.bound - account.limits.granted);
-    return account.demand > threshold && now - account.toldAt <= m_options.newsLifetime;
-}
-
-double QuotaGate::othersUse(const Account &account, base::TimePoint now) const
-{
-    const base::Duration age = now - account.toldAt;
-    if (age >= m_options.window) {
-        return account.reserved; // the counts have left the window
-    }
-    const double sinceThen = othersRate(account, now) * base::toSeconds(std::min(age, m_options.newsLifetime));
-    return account.others.total(m_slotTime, now) + sinceThen + account.reserved;
-}
-
-double QuotaGate::othersRate(const Account &account, base::TimePoint now) const
-{
-    const double total = account.others.total(m_slotTime, now);
-    const double meanPerSecond = std::max(total, 1.0) / base::toSeconds(m_options.window);
-    const double latest = account.others.latest(s_rateSlots);
-    return (latest + s_meanWeight) / (s_rateSlotTimes * base::toSeconds(m_slotTime) + s_meanWeight / meanPerSecond);
-}
-
-double QuotaGate::fixedFraction(AccountId id) const
-{
-    base::SplitMix64 draw(base::mixBits(m_seed ^ id.value));
-    return base::uniformUnit(draw);
-}
-
-double QuotaGate::isolatedLimit(const Account &account, AccountId id, base::TimePoint now) const
-{
-    double limit = account.limits.target / static_cast<double>(m_members);
-    const bool shareHeld = account.share >= 0 && m_repliedAt && now - *m_repliedAt <= m_options.holdTime;
-    if (shareHeld) {
-        limit = account.limits.target * account.share + isolatedTolerance(account);
-    } else if (!m_repliedAt && m_startedAt && now - *m_startedAt <= m_options.window) {
-        limit = std::max(limit, s_startAllowance);
-    }
-    // A limit of 0.4 requests means one request in two of five windows. The offset differs between instances, so that their sum is right.
-    const std::uint64_t offset = base::mixBits(m_seed ^ id.value);
-    const auto epoch = static_cast<std::uint64_t>(
-        (now.time_since_epoch().count() + static_cast<std::int64_t>(offset >> 2U) % m_options.window.count()) / m_options.window.count());
-    base::SplitMix64 draw(offset + epoch);
-    return std::floor(limit + base::uniformUnit(draw));
-}
-
-double QuotaGate::isolatedTolerance(const Account &account) const
-{
-    return std::min(s_maximumTolerance, s_toleranceRoom * (account.limits.bound - account.limits.ceiling) / static_cast<double>(m_members));
-}
-
-double QuotaGate::tolerance(const Account &account) const
-{
-    return std::max(s_minimumTolerance, isolatedTolerance(account));
-}
-
-bool QuotaGate::withinLimits(Account &account, AccountId id, base::TimePoint now)
-{
-    const auto own = static_cast<double>(account.own.total(now));
-    if (!informed(now)) {
-        return own + 1 <= isolatedLimit(account, id, now);
-    }
-    if (own + 1 + othersUse(account, now) > account.limits.ceiling) {
-        return false;
-    }
-    if (!hot(account, now)) {
-        // The shares add up to the target also while demand rises faster than the news of it travel. At a rate that the quota allows for
-        // good, the sum of the counts is enough, and requests within the quota are not refused because they arrive unevenly.
-        const double used = own + othersUse(account, now);
-        const double growth = othersRate(account, now) - used / base::toSeconds(m_options.window);
-        const bool rising = used + growth * base::toSeconds(s_lookAhead) > account.limits.target;
-        return !rising || account.share < 0 || own + 1 <= account.share * account.limits.target + tolerance(account);
-    }
-    // The sum of the shares is the target, so that late news has little effect.
-    const double share = account.share * account.limits.target;
-    return own + 1 <= share + (share >= s_countedShare ? fixedFraction(id) : std::sqrt(share) + 1);
-}
-
-bool QuotaGate::drawnByLot(Account &account, base::TimePoint now)
-{
-    if (!informed(now) || !hot(account, now) || account.share * account.limits.target >= s_countedShare) {
-        return true;
-    }
-    const double used = static_cast<double>(account.own.total(now)) + othersUse(account, now);
-    const double expiring = account.others.expiring(m_slotTime, now, s_expiringSlots) / base::toSeconds(m_slotTime * s_expiringSlots);
-    const double allowed = expiring + (account.limits.target - used) / base::toSeconds(s_correctionTime);
-    const double arriving = std::max(account.demand / base::toSeconds(m_options.window), account.demandGrowth);
-    return base::uniformUnit(m_random) * arriving < allowed;
-}
-
 bool QuotaGate::needsReport(const Account &account, base::TimePoint now) const
 {
     if (hot(account, now)) {
@@ -320,6 +191,33 @@
     return usages;
 }
 
+void QuotaGate::applyCounts(Account &account, const AccountUsage &usage, std::uint64_t sender, base::TimePoint now) const
+{
+    const auto own = static_cast<double>(account.own.total(now));
+    // An aggregator that has started anew under the same name answers only after this time.
+    const bool resumed = now - account.toldAt >= m_options.newsLifetime;
+    if (resumed || sender != account.toldBy) {
+        account.toldBy = sender;
+        account.kept = account.others;
+        account.keptReserved = account.reserved;
+    }
+    if (resumed) {
+        account.resumedAt = now;
+        account.ownWhenResumed = own;
+    }
+    account.toldAt = now;
+    account.ownWhenTold = own;
+    account.others = SlotCounts(usage.slots, now);
+    const SlotCounts missing = account.kept.missingFrom(account.others, m_slotTime);
+    const double total = missing.total(m_slotTime, now);
+    // What an aggregator does not know of a failure domain that it does not hear yet, it reserves.
+    const double newlyReserved = std::max(0.0, static_cast<double>(usage.reserved) - account.keptReserved);
+    account.missing = std::max(0.0, total - newlyReserved);
+    if (account.missing > 0) {
+        account.others.add(missing.scaled(account.missing / total), m_slotTime, now);
+    }
+}
+
 void QuotaGate::apply(const UsageMessage &reply, base::TimePoint now)
 {
     const bool recent = reply.number <= m_reportNumber && reply.number + m_reportTimes.size() > m_reportNumber;
@@ -331,14 +229,14 @@
         m_repliedNumber = reply.number;
         m_repliedAt = now;
     }
+    const std::uint64_t sender = base::stableHash(reply.sender);
     for (const AccountUsage &usage : reply.usages) {
         Account *account = find(usage.account);
         if (account == nullptr || reply.number < account->toldNumber) {
             continue;
         }
         account->toldNumber = reply.number;
-        account->toldAt = now;
-        account->others = SlotCounts(usage.slots, now);
+        applyCounts(*account, usage, sender, now);
         account->reserved = static_cast<double>(usage.reserved);
         account->demand = static_cast<double>(usage.demand);
         if (const base::Duration since = now - account->earlierAt; since >= s_growthTime) {
--- a/src/quota/usage_aggregator.cpp
+++ b/src/quota/usage_aggregator.cpp
@@ -1,4 +1,4 @@
-// Sums of use, reservations for silent members and failure domains, and shares.
+// Sums of use, and reservations for silent members and failure domains.
 
 #include "trefoilstile/quota/usage_aggregator.hpp"
 
@@ -23,17 +23,6 @@
 /// The shares of senders are computed at least this often.
 constexpr base::Duration s_shareAge = std::chrono::milliseconds(300);
 
-/// Demand that is added in equal parts for all instances when shares are computed, as a fraction of the target. Without it, the only
-/// instance that saw a request of a quiet account would have the whole quota as its share, and all others would reserve it. It falls to
-/// zero as the demand rises to `s_evenEnd`, so that instances with most of the callers get their whole part of the quota.
-constexpr double s_evenDemand = 0.3;
-constexpr double s_evenEnd = 0.6;
-
-double evenDemand(double demand, double target)
-{
-    return s_evenDemand * target * std::max(0.0, 1 - demand / (s_evenEnd * target));
-}
-
 /// A use below this fraction of the target is passed on less often, and changes of it at once only above the second fraction.
 constexpr double s_watchedUse = 0.5;
 constexpr double s_noticedUse = 0.3;
@@ -67,10 +56,16 @@
             }
         }
     }
+    std::erase_if(m_sums, [this](const auto &entry) {
+        return !m_limits.contains(entry.first);
+    });
+    for (auto &[id, sum] : m_sums) {
+        sum.target = m_limits.at(id).target;
+    }
     m_refreshedAt = base::TimePoint();
 }
 
-void UsageAggregator::applyTo(Source &source, const UsageMessage &message, base::TimePoint now)
+void UsageAggregator::applyTo(Source &source, const UsageMessage &message, base::TimePoint now) const
 {
     source.number = std::max(source.number, message.number);
     source.peerAddress = message.peerAddress;
@@ -81,6 +76,7 @@
             continue;
         }
         record.slots = SlotCounts(usage.slots, now); // `summed` stays until the next sums
+        record.missing = record.kept.missingFrom(record.slots, m_slotTime);
         const double demand = static_cast<double>(usage.demand);
         if (const base::Duration since = now - record.receivedAt; since >= s_growthTime) {
             record.demandGrowth = since <= s_slowAnnouncement ? (demand - record.demand) / base::toSeconds(since) : 0;
@@ -116,19 +112,21 @@
     if (member) {
         // The attempts of the former incarnation have run and stay in the window; its share passes to the new one.
         for (auto &[id, record] : source.records) {
-            m_former[id].add(record.slots, m_slotTime, now);
             Record successor;
+            successor.former = record.former;
+            successor.former.add(record.slots, m_slotTime, now);
             successor.formerDemand = std::max(record.demand, record.formerDemand);
             successor.formerUntil = now + m_options.window;
             successor.receivedAt = now;
             record = successor;
         }
-    } else if (source.sender == message.sender) {
-        source.records.clear();
     } else {
-        // Another aggregator of the same failure domain: its numbers are unrelated to those of the former one.
+        // Another aggregator of the same failure domain: its numbers are unrelated to those of the former one, and its sums may lack the
+        // attempts of members that were lost together with the former one.
         for (auto &[id, record] : source.records) {
             record.number = 0;
+            record.kept = record.slots;
+            record.kept.add(record.missing, m_slotTime, record.slots.takenAt());
         }
     }
     source.incarnation = message.incarnation;
@@ -154,16 +152,27 @@
     // Until a sender is considered silent, its use is assumed to go on.
     const bool overdue = !silent && now - source.heardAt > s_overdue;
     for (auto &[id, record] : source.records) {
-        const auto limits = m_limits.find(id);
-        if (limits == m_limits.end()) {
-            continue;
+        auto found = m_sums.find(id);
+        if (found == m_sums.end()) {
+            const auto limits = m_limits.find(id);
+            if (limits == m_limits.end()) {
+                continue;
+            }
+            found = m_sums.try_emplace(id).first;
+            found->second.target = limits->second.target;
         }
-        Sum &sum = m_sums[id];
+        Sum &sum = found->second;
         record.summed = record.slots;
         const double used = record.slots.total(m_slotTime, now);
-        const double reserved = record.reserved + (silent ? std::max(0.0, record.share * limits->second.target - used) : 0);
+        const double reserved = record.reserved + (silent ? std::max(0.0, record.share * sum.target - used) : 0);
         SlotCounts &slots = member ? sum.slots : sum.otherSlots;
         slots.add(record.slots, m_slotTime, now);
+        if (member && now < record.formerUntil) {
+            slots.add(record.former, m_slotTime, now);
+        } else if (!member) {
+            slots.add(record.missing, m_slotTime, now);
+            sum.missing += record.missing.total(m_slotTime, now);
+        }
         if (overdue) {
             slots.addLatest(record.slots.latest(s_slots) / s_slots, static_cast<std::size_t>((now - source.heardAt) / m_slotTime));
         }
@@ -173,7 +182,8 @@
             // Shares compare the demand of all failure domains at one time, that of the last announcement of this one.
             const base::Duration since = announced(sum, now) ? sum.announcedAt - record.receivedAt : now - record.receivedAt;
             const double growth = silent ? 0 : record.demandGrowth * base::toSeconds(std::clamp<base::Duration>(since, -s_growthEnd, s_growthEnd));
-            sum.otherDemand += std::max(0.0, currentDemand(source, record, now) + growth);
+            record.announcedDemand = std::max(0.0, currentDemand(source, record, now) + growth);
+            sum.otherDemand += record.announcedDemand;
         }
         (member ? sum.reserved : sum.otherReserved) += reserved;
     }
@@ -198,13 +208,13 @@
         return;
     }
     m_refreshedAt = now;
+    if (m_firstMessageAt && now - *m_firstMessageAt > 2 * m_options.newsLifetime && !hearsHalf(now)) {
+        m_firstMessageAt = now; // when contact is back, the senders need time to report as after a start
+    }
     forgetSilent(m_sources, now);
     forgetSilent(m_domains, now);
-    std::erase_if(m_former, [&](const auto &entry) {
-        return entry.second.total(m_slotTime, now) == 0;
-    });
     for (auto &[id, sum] : m_sums) {
-        const Sum fresh{{}, 0, 0, sum.announcedDemand, sum.announcedUse, {}, 0, 0, sum.announcedAt};
+        const Sum fresh{sum.target, {}, 0, 0, sum.announcedDemand, sum.announcedUse, {}, 0, 0, 0, sum.announcedAt};
         sum = fresh;
     }
     for (auto &[name, source] : m_sources) {
@@ -213,68 +223,13 @@
     for (auto &[name, source] : m_domains) {
         addSource(source, false, now);
     }
-    for (const auto &[id, slots] : m_former) {
-        m_sums[id].slots.add(slots, m_slotTime, now);
-    }
     std::erase_if(m_sums, [&](const auto &entry) {
         const Sum &sum = entry.second;
-        return !m_limits.contains(entry.first)
-            || (sum.demand + sum.otherDemand + sum.reserved + sum.otherReserved == 0 && sum.slots.total(m_slotTime, now) == 0);
+        return sum.demand + sum.otherDemand + sum.reserved + sum.otherReserved == 0 && sum.slots.total(m_slotTime, now) == 0;
     });
     updateShares(now);
 }
 
-void UsageAggregator::updateShares(base::TimePoint now)
-{
-    const auto update = [&](Sources &sources, auto share) {
-        for (auto &[name, source] : sources) {
-            if (now - source.heardAt > m_options.newsLifetime) {
-                continue; // keeps the share that the silent sender may still use
-            }
-            for (auto &[id, record] : source.records) {
-                if (const auto sum = m_sums.find(id); sum != m_sums.end()) {
-                    record.share = share(source, record, sum->second, m_limits.at(id).target);
-                }
-            }
-        }
-    };
-    update(m_sources, [&](const Source &source, const Record &record, const Sum &sum, double target) {
-        return shareOf(source, &record, sum, target, now);
-    });
-    update(m_domains, [&](const Source &source, const Record &record, const Sum &sum, double target) {
-        return domainShareOf(currentDemand(source, record, now), sum, target, now);
-    });
-}
-
-double UsageAggregator::shareOf(const Source &source, const Record *record, const Sum &sum, double target, base::TimePoint now) const
-{
-    // The other failure domains know the demand of this one as it was announced. Using the same figures, also for each member, keeps the
-    // sum of all shares near 1 while demand changes. Otherwise the latest figure of the receiver would be divided by older ones of others.
-    const bool isAnnounced = announced(sum, now);
-    const double known = isAnnounced ? sum.announcedDemand : sum.demand;
-    const double even = evenDemand(known + sum.otherDemand, target);
-    double demand = 0;
-    if (record != nullptr) {
-        demand = isAnnounced ? record->announcedDemand : currentDemand(source, *record, now);
-    }
-    return (demand + even / static_cast<double>(m_members)) / std::max(1.0, known + sum.otherDemand + even);
-}
-
-double UsageAggregator::domainShareOf(double demand, const Sum &sum, double target, base::TimePoint now) const
-{
-    const double known = announced(sum, now) ? sum.announcedDemand : sum.demand;
-    const double even = evenDemand(known + sum.otherDemand, target);
-    const double otherMembers = static_cast<double>(m_members - std::min(m_members, m_sources.size()));
-    const double members = otherMembers / static_cast<double>(std::max<std::size_t>(1, m_domains.size()));
-    return (demand + even * members / static_cast<double>(m_members)) / std::max(1.0, known + sum.otherDemand + even);
-}
-
-double UsageAggregator::reservedForUnknown(double target) const
-{
-    const std::size_t unknown = m_otherDomains - std::min(m_otherDomains, m_domains.size());
-    return target * static_cast<double>(unknown) / static_cast<double>(m_otherDomains + 1);
-}
-
 bool UsageAggregator::watched(const Sum &sum, double target) const
 {
     const double used = sum.slots.latest(s_slots) + sum.otherSlots.latest(s_slots) + sum.reserved + sum.otherReserved;
@@ -287,7 +242,7 @@
     Source &receiver = m_sources[member];
     std::vector<AccountUsage> usages;
     const auto add = [&](AccountId id, Sum &sum) {
-        const double target = m_limits.at(id).target;
+        const double target = sum.target;
         SlotCounts others = sum.slots;
         others.add(sum.otherSlots, m_slotTime, std::max(sum.slots.takenAt(), sum.otherSlots.takenAt()));
         const auto own = receiver.records.find(id);
@@ -303,14 +258,19 @@
             static_cast<std::uint32_t>(std::clamp(share, 0.0, 1.0) * 1e6)});
     };
     for (auto &[id, sum] : m_sums) {
-        const double target = m_limits.at(id).target;
+        const double target = sum.target;
         const double used = sum.slots.latest(s_slots) + sum.otherSlots.latest(s_slots) + sum.reserved + sum.otherReserved;
-        const bool reported = report != nullptr && std::any_of(report->usages.begin(), report->usages.end(), [account = id](const AccountUsage &usage) {
-            return usage.account == account;
-        });
         const bool limited = report != nullptr && sum.demand + sum.otherDemand > target;
+        const bool reported =
+            report != nullptr && !limited && std::any_of(report->usages.begin(), report->usages.end(), [account = id](const AccountUsage &usage) {
+                return usage.account == account;
+            });
+        const bool noticed = used > s_noticedUse * target;
+        if (!limited && !reported && !noticed) {
+            continue;
+        }
         double &told = receiver.told[id];
-        if (reported || limited || (used > s_noticedUse * target && isMuch(used - told, target))) {
+        if (limited || reported || isMuch(used - told, target)) {
             add(id, sum);
             told = used;
         }
@@ -325,7 +285,7 @@
     std::vector<AccountUsage> usages;
     for (auto &[id, sum] : m_sums) {
         const bool empty = sum.demand + sum.reserved == 0 && sum.slots.total(m_slotTime, now) == 0;
-        const double target = m_limits.at(id).target;
+        const double target = sum.target;
         const bool due = watched(sum, target) || hasChanged(sum, target) || now - sum.announcedAt >= s_slowAnnouncement;
         if (empty || !due) {
             continue;
@@ -356,7 +316,7 @@
 {
     refresh(now);
     return std::any_of(m_sums.begin(), m_sums.end(), [this](const auto &entry) {
-        return hasChanged(entry.second, m_limits.at(entry.first).target);
+        return hasChanged(entry.second, entry.second.target);
     });
 }
 
@@ -365,6 +325,11 @@
     if (!m_firstMessageAt || now - *m_firstMessageAt < m_options.newsLifetime) {
         return false;
     }
+    return hearsHalf(now);
+}
+
+bool UsageAggregator::hearsHalf(base::TimePoint now) const
+{
     const auto reporting = std::count_if(m_sources.begin(), m_sources.end(), [&](const auto &entry) {
         return now - entry.second.heardAt <= m_options.newsLifetime;
     });
--- a/src/quota/usage_window.cpp
+++ b/src/quota/usage_window.cpp
@@ -81,8 +81,8 @@
 
 std::size_t agedBy(base::Duration age, base::Duration slotTime)
 {
-    const double slots = std::round(base::toSeconds(std::max(age, base::Duration::zero())) / base::toSeconds(slotTime));
-    return static_cast<std::size_t>(std::min(slots, static_cast<double>(s_slots)));
+    const std::int64_t slots = (std::max(age, base::Duration::zero()) + slotTime / 2) / slotTime;
+    return static_cast<std::size_t>(std::min<std::int64_t>(slots, s_slots));
 }
 
 } // namespace
@@ -116,6 +116,31 @@
     }
 }
 
+SlotCounts SlotCounts::missingFrom(const SlotCounts &later, base::Duration slotTime) const
+{
+    SlotCounts result;
+    result.m_takenAt = later.m_takenAt;
+    const std::size_t shift = agedBy(later.m_takenAt - m_takenAt, slotTime);
+    double missing = 0;
+    double positive = 0;
+    for (std::size_t slot = shift; slot < s_slots; ++slot) {
+        const double difference = m_slots[slot - shift] - later.m_slots[slot];
+        missing += difference;
+        result.m_slots[slot] = std::max(0.0, difference);
+        positive += result.m_slots[slot];
+    }
+    return result.scaled(missing > 0 ? missing / positive : 0);
+}
+
+SlotCounts SlotCounts::scaled(double factor) const
+{
+    SlotCounts result = *this;
+    for (double &count : result.m_slots) {
+        count *= factor;
+    }
+    return result;
+}
+
 double SlotCounts::total(base::Duration slotTime, base::TimePoint now) const
 {
     // The latest events of slot k have the age k x slotTime plus the age of the message.
