Revert the longer queues for urgent requests, and keep their test

That no account or kind starves goes before the fraction of one kind.

Change: the limits are those before.

--- a/include/trefoilstile/ingress/overload_control.hpp
+++ b/include/trefoilstile/ingress/overload_control.hpp
@@ -60,11 +60,9 @@
     double waitMargin = 0.7; ///< part of the time up to the objective that the expected wait may take, because waits vary
     /// Requests per slot that may wait at an upstream in any case, so that slots do not run idle between two requests, and at most.
     double minimumQueuePerSlot = 0.7;
-    double maximumQueuePerSlot = 1.0;
-    /// The same as `minimumQueuePerSlot` for what is worth more than the price. It exceeds `maximumQueuePerSlot`, so that a kind with a long
-    /// objective does not fill the queue that a more urgent one needs, and `PlacementOptions::queuePerSlot`, so that an urgent request is
-    /// not refused where it would wait without overload control. With 1.4 and 1.6, the most urgent kind was refused more often than without.
-    double urgentQueuePerSlot = 2;
+    double maximumQueuePerSlot = 1.6;
+    /// The same as `minimumQueuePerSlot` for what is worth more than the price, so that it still fits into the queue.
+    double urgentQueuePerSlot = 1.4;
     /// Fraction of the slots up to which an upstream gets work that is cold there, in place of that of `PlacementOptions`. In the
     /// emulated heavy days of docs/measurements/overload.md, 0.4 served more than 0.75: less cold work leaves more slots for warm work.
     double coldUtilizationLimit = 0.4;
