--- a/bench/overload/overload_bench_test.cpp
+++ b/bench/overload/overload_bench_test.cpp
@@ -227,8 +227,17 @@
 BOOST_AUTO_TEST_CASE(experimentsOfTheRepositoryAreRead)
 {
     const std::filesystem::path folder(TREFOILSTILE_OVERLOAD_EXPERIMENTS);
-    for (const char *name :
-        {"a.yaml", "b.yaml", "a-cold.yaml", "b-cold.yaml", "short.yaml", "a-choice.yaml", "b-choice.yaml", "a-overload.yaml", "b-overload.yaml"}) {
+    for (const char *name : {"a.yaml",
+             "b.yaml",
+             "a-cold.yaml",
+             "b-cold.yaml",
+             "short.yaml",
+             "a-choice.yaml",
+             "b-choice.yaml",
+             "a-overload.yaml",
+             "b-overload.yaml",
+             "a-data.yaml",
+             "a-start.yaml"}) {
         BOOST_TEST(!readExperiment(folder / name).variants.empty());
     }
     const Experiment experiment = readExperiment(folder / "b.yaml");
