--- a/bench/overload/overload_bench_test.cpp
+++ b/bench/overload/overload_bench_test.cpp
@@ -247,7 +247,8 @@
     const Experiment overload = readExperiment(folder / "b-overload.yaml");
     BOOST_TEST((overload.variants.at(0).placement.overloadMode == ingress::OverloadMode::Off));
     BOOST_TEST((overload.variants.at(1).placement.overloadMode == ingress::OverloadMode::On));
-    BOOST_TEST(overload.variants.at(2).placement.overload.coldUtilizationLimit == 0.75);
+    BOOST_TEST(overload.variants.at(2).placement.overload.urgentQueuePerSlot == 2);
+    BOOST_TEST(overload.variants.at(3).placement.overload.coldUtilizationLimit == 0.75);
 }
 
 // Guards against a wrong mean or standard deviation, and against names that break the page.
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -22,7 +22,6 @@
 
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/http/clock.hpp"
-#include "trefoilstile/http/query.hpp"
 #include "trefoilstile/ingress/entry_list.hpp"
 #include "trefoilstile/proxy/activity.hpp"
 #include "trefoilstile/proxy/caller_listener.hpp"
@@ -77,8 +76,8 @@
         forEachTable([](auto &table) {
             table.start();
         });
-        m_join.start([this](JoinedFleet joined) {
-            join(std::move(joined));
+        m_join.start([this](const JoinedFleet &joined) {
+            join(joined);
         });
         awaitSignal();
         tick();
@@ -187,7 +186,7 @@
     }
 
     /// Takes part in the membership from now on.
-    void join(JoinedFleet joined)
+    void join(const JoinedFleet &joined)
     {
         const base::TimePoint now = http::now();
         const std::vector<std::string> seeds = otherAddresses(joined.registered, m_core.settings.peerAddress);
--- a/include/trefoilstile/proxy/fleet_join.hpp
+++ b/include/trefoilstile/proxy/fleet_join.hpp
@@ -43,7 +43,7 @@
     /// Creates or reads the peer key in the store, registers this instance and reads the registered ones. Retries until that
     /// succeeds or the stop begins.
     /// @param joined called once, on success; called again if it throws
-    void start(std::function<void(JoinedFleet)> joined)
+    void start(std::function<void(const JoinedFleet &)> joined)
     {
         m_handler = std::move(joined);
         spawnSupervised(m_core, "join", [this]() {
@@ -81,9 +81,9 @@
     boost::asio::awaitable<void> run()
     {
         while (!m_joined && !m_core.stop.begun()) {
-            std::optional<JoinedFleet> fleet = co_await tryJoin();
+            const std::optional<JoinedFleet> fleet = co_await tryJoin();
             if (fleet) {
-                m_handler(std::move(*fleet));
+                m_handler(*fleet);
                 m_joined = true;
                 m_nextSearch = http::now() + s_searchPause;
             } else {
@@ -136,7 +136,7 @@
     EntryCore &m_core;
     FleetRegister<Store> m_register;
     boost::asio::steady_timer m_timer;
-    std::function<void(JoinedFleet)> m_handler;
+    std::function<void(const JoinedFleet &)> m_handler;
     bool m_joined = false;
     base::TimePoint m_nextSearch; ///< earliest next search of the register while no other member is known
     base::Duration m_searchPause = s_searchPause;
--- a/include/trefoilstile/proxy/settings.hpp
+++ b/include/trefoilstile/proxy/settings.hpp
@@ -38,7 +38,7 @@
     base::Duration leavingBound = std::chrono::seconds(2); ///< time after which an upstream that was reported as draining or removed gets no requests
     double shiftLimit = 0.15; ///< fraction of a region's requests that may move to another region within 2 s
     ingress::OverloadMode overloadControl = ingress::OverloadMode::Auto; ///< services under overload control
-    ingress::CapacityMode measuredCapacity = ingress::CapacityMode::Auto; ///< whether lookups weight this instance by its measured capacity
+    ingress::CapacityMode measuredCapacity = ingress::CapacityMode::Off; ///< whether lookups weight this instance by its measured capacity
     std::uint64_t upstreamBodyBytes{}; ///< bytes of request bodies in flight at one upstream, over all instances; 0: no limit
     base::Duration quotaWindow{}; ///< sliding window of the quotas of accounts; 0: quotas are not enforced
     double quotaOvershoot = 0; ///< fraction by which all instances together may exceed a quota
--- a/src/proxy/settings_test.cpp
+++ b/src/proxy/settings_test.cpp
@@ -163,13 +163,13 @@
     BOOST_TEST(errorOf(arguments).find("upstream-body-bytes") != std::string::npos);
 }
 
-// Guards against a mode of the measured capacity that is read as another one, and against a default other than `auto`.
+// Guards against a mode of the measured capacity that is read as another one, and against a default other than `off`.
 BOOST_AUTO_TEST_CASE(measuredCapacityIsOffOnOrAuto)
 {
     std::vector<std::string> arguments = requiredArguments();
-    BOOST_TEST((parseSettings(arguments, s_variable).measuredCapacity == ingress::CapacityMode::Auto));
-    arguments.push_back("--measured-capacity=off");
     BOOST_TEST((parseSettings(arguments, s_variable).measuredCapacity == ingress::CapacityMode::Off));
+    arguments.push_back("--measured-capacity=auto");
+    BOOST_TEST((parseSettings(arguments, s_variable).measuredCapacity == ingress::CapacityMode::Auto));
     arguments.back() = "--measured-capacity=on";
     BOOST_TEST((parseSettings(arguments, s_variable).measuredCapacity == ingress::CapacityMode::On));
 }
