Refer callers to other regions only within their home regions

Cause: lookups relieve a single instance of a region by instances of other regions. A planned stop leaves a region of two instances with one that counts, and neither the relief nor the answer for a region without instances looked at the home regions of routes and accounts; the host of a lookup was not even decoded.

Evidence: of 88 lookup answers, 31 named the other region, all of them while an instance of the caller's region was stopped or just started.

Change: RouteIndex::homes intersects the homes of all routes of a host and of all accounts, since a lookup does not say which of them it is for. Other regions are named only within them, for the relief as well as for a region that has no instance. If none is left and all that is known of the region is a planned stop, its leaving instances are named. Without homes, and after an unplanned loss of a region, answers are as before.

Why it works: the answers that broke the rule are no longer made, whatever the spare capacity; the relief stays for routes without homes.

--- a/include/trefoilstile/ingress/entry_list.hpp
+++ b/include/trefoilstile/ingress/entry_list.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "trefoilstile/base/random.hpp"
+#include "trefoilstile/ingress/home_regions.hpp"
 #include "trefoilstile/membership/member_table.hpp"
 
 namespace trefoilstile::ingress
@@ -30,6 +31,14 @@
     std::size_t relievingInstances = 3;
 };
 
+/// Caller for whom an answer is made.
+struct EntryCaller {
+    std::string_view region;
+    std::string_view failureDomain;
+    /// Regions other than the caller's own to which the caller may be referred.
+    HomeRegions homes{};
+};
+
 /// An instance that may be listed in an answer.
 struct EntryCandidate {
     std::string address;
@@ -38,11 +47,14 @@
 };
 
 /// Candidates for a caller: the instances of its failure domain if there are at least `minimumAddresses`, otherwise those of its
-/// region, or all instances if its region has none. A single instance of a region whose spare capacity is known to be below
-/// `alwaysListedShare` of the largest elsewhere is relieved by instances of other regions. Only instances that are alive, not silent and not leaving are
-/// candidates. Sorted by descending spare capacity, unknown capacity first.
-std::vector<EntryCandidate> entryCandidates(
-    const membership::MemberTable &members, std::string_view region, std::string_view failureDomain, EntryListOptions options = {});
+/// region. A single instance of a region whose spare capacity is known to be below `alwaysListedShare` of the largest elsewhere is
+/// relieved by instances of other regions that `homes` allows. If the region has no instance, those of the other regions that
+/// `homes` allows are candidates; without any, the instances of the region that are leaving, as long as all that is known of the
+/// region is a planned stop, and after an unplanned loss all instances.
+///
+/// Apart from that case, only instances that are alive, not silent and not leaving are candidates. Sorted by descending spare
+/// capacity, unknown capacity first.
+std::vector<EntryCandidate> entryCandidates(const membership::MemberTable &members, const EntryCaller &caller, EntryListOptions options = {});
 
 /// Probability of each candidate to be listed in an answer, in proportion to its spare capacity.
 std::vector<double> inclusionProbabilities(const std::vector<EntryCandidate> &candidates, EntryListOptions options = {});
--- a/include/trefoilstile/ingress/route_index.hpp
+++ b/include/trefoilstile/ingress/route_index.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "trefoilstile/ingress/configuration.hpp"
+#include "trefoilstile/ingress/home_regions.hpp"
 
 namespace trefoilstile::ingress
 {
@@ -55,9 +56,14 @@
     /// @param host lower case, without port
     std::shared_ptr<IndexedRoute> find(std::string_view host, std::string_view path) const;
 
+    /// Regions in which all routes of the host, and all accounts, may be served; none if the host is not known.
+    /// @param host lower case, without port
+    HomeRegions homes(std::string_view host) const;
+
 private:
     using ByPrefix = std::map<std::string, std::shared_ptr<IndexedRoute>, std::less<>>;
     std::map<std::string, ByPrefix, std::less<>> m_hosts;
+    std::map<std::string, HomeRegions, std::less<>> m_homes; ///< by host
 };
 
 } // namespace trefoilstile::ingress
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -163,7 +163,9 @@
         const EntryLookup request = Platform::decodeLookup(query);
         std::vector<std::string> addresses;
         if (m_members) {
-            addresses = ingress::sampleEntryAddresses(ingress::entryCandidates(m_members->members(), request.region, request.failureDomain), m_core.random);
+            const ingress::EntryCaller caller{
+                request.region, request.failureDomain, m_core.routes ? m_core.routes->homes(request.host) : ingress::HomeRegions::none()};
+            addresses = ingress::sampleEntryAddresses(ingress::entryCandidates(m_members->members(), caller), m_core.random);
         } else if (ready()) {
             addresses.push_back(m_core.settings.callerAddress); // before joining, this is the only known instance
         }
--- a/include/trefoilstile/proxy/platform_adapter.hpp
+++ b/include/trefoilstile/proxy/platform_adapter.hpp
@@ -16,10 +16,11 @@
 namespace trefoilstile::proxy
 {
 
-/// Request of a caller for the addresses of entry instances; the fields are the caller's location.
+/// Request of a caller for the addresses of entry instances.
 struct EntryLookup {
-    std::string region;
-    std::string failureDomain;
+    std::string host; ///< that the caller will send requests to; lower case, without port
+    std::string region; ///< of the caller
+    std::string failureDomain; ///< of the caller
 };
 
 /// Interface of a platform adapter.
--- a/src/ingress/entry_list.cpp
+++ b/src/ingress/entry_list.cpp
@@ -7,48 +7,114 @@
 namespace trefoilstile::ingress
 {
 
-std::vector<EntryCandidate> entryCandidates(
-    const membership::MemberTable &members, std::string_view region, std::string_view failureDomain, EntryListOptions options)
+namespace
 {
-    const auto bySpareCapacity = [](const EntryCandidate &left, const EntryCandidate &right) {
-        // An unknown spare capacity is treated like the largest one.
-        return right.spareCapacity > 0 && (left.spareCapacity <= 0 || left.spareCapacity > right.spareCapacity);
-    };
-    const auto select = [&](auto &&matches) {
-        std::vector<EntryCandidate> candidates;
-        for (const auto &[incarnation, member] : members.entries()) {
-            if (member.isAlive() && !member.silent && !member.isLeaving() && matches(member)) {
-                candidates.push_back({member.info.callerAddress, static_cast<double>(member.status.spareCapacity)});
+
+using membership::MemberEntry;
+
+/// True if the instance is running as far as is known.
+bool isReachable(const MemberEntry &member)
+{
+    return member.isAlive() && !member.silent;
+}
+
+template<typename Predicate>
+std::vector<EntryCandidate> select(const membership::MemberTable &members, Predicate matches)
+{
+    std::vector<EntryCandidate> candidates;
+    for (const auto &[incarnation, member] : members.entries()) {
+        if (isReachable(member) && matches(member)) {
+            candidates.push_back({member.info.callerAddress, static_cast<double>(member.status.spareCapacity)});
+        }
+    }
+    return candidates;
+}
+
+/// Instances that are not leaving and for which the predicate holds.
+template<typename Predicate>
+std::vector<EntryCandidate> selectStaying(const membership::MemberTable &members, Predicate matches)
+{
+    return select(members, [&matches](const MemberEntry &member) {
+        return !member.isLeaving() && matches(member);
+    });
+}
+
+/// True if members of the region are known, and each of them has announced that it leaves.
+bool hasLeft(const membership::MemberTable &members, std::string_view region)
+{
+    bool known = false;
+    for (const auto &[incarnation, member] : members.entries()) {
+        if (member.info.region == region) {
+            if (!member.isLeaving()) {
+                return false;
             }
+            known = true;
         }
+    }
+    return known;
+}
+
+/// Candidates for a caller whose region has no instance that stays.
+std::vector<EntryCandidate> candidatesElsewhere(const membership::MemberTable &members, const EntryCaller &caller)
+{
+    std::vector<EntryCandidate> candidates = selectStaying(members, [&caller](const MemberEntry &member) {
+        return caller.homes.allow(member.info.region);
+    });
+    if (!candidates.empty()) {
         return candidates;
-    };
-    std::vector<EntryCandidate> candidates = select([&](const membership::MemberEntry &member) {
-        return member.info.failureDomain == failureDomain;
+    }
+    if (hasLeft(members, caller.region)) {
+        // They serve what ends before they do, and refuse the rest, which the caller can repeat.
+        return select(members, [&caller](const MemberEntry &member) {
+            return member.info.region == caller.region;
+        });
+    }
+    return selectStaying(members, [](const MemberEntry &) {
+        return true;
+    });
+}
+
+bool hasMoreSpareCapacity(const EntryCandidate &left, const EntryCandidate &right)
+{
+    // An unknown spare capacity is treated like the largest one.
+    return right.spareCapacity > 0 && (left.spareCapacity <= 0 || left.spareCapacity > right.spareCapacity);
+}
+
+/// Adds instances of other regions if the only instance of the region has little spare capacity.
+void addRelief(std::vector<EntryCandidate> &candidates, const membership::MemberTable &members, const EntryCaller &caller, EntryListOptions options)
+{
+    std::vector<EntryCandidate> others = selectStaying(members, [&caller](const MemberEntry &member) {
+        return member.info.region != caller.region && caller.homes.allow(member.info.region) && member.status.spareCapacity > 0;
+    });
+    std::stable_sort(others.begin(), others.end(), hasMoreSpareCapacity);
+    others.resize(std::min(others.size(), options.relievingInstances));
+    if (others.empty() || candidates.front().spareCapacity >= options.alwaysListedShare * others.front().spareCapacity) {
+        return;
+    }
+    for (EntryCandidate &other : others) {
+        other.relieves = true;
+        candidates.push_back(std::move(other));
+    }
+}
+
+} // namespace
+
+std::vector<EntryCandidate> entryCandidates(const membership::MemberTable &members, const EntryCaller &caller, EntryListOptions options)
+{
+    std::vector<EntryCandidate> candidates = selectStaying(members, [&caller](const MemberEntry &member) {
+        return member.info.failureDomain == caller.failureDomain;
     });
     if (candidates.size() < options.minimumAddresses) {
-        candidates = select([&](const membership::MemberEntry &member) {
-            return member.info.region == region;
+        candidates = selectStaying(members, [&caller](const MemberEntry &member) {
+            return member.info.region == caller.region;
         });
     }
     if (candidates.empty()) {
-        candidates = select([](const membership::MemberEntry &) {
-            return true;
-        });
+        candidates = candidatesElsewhere(members, caller);
     }
-    std::stable_sort(candidates.begin(), candidates.end(), bySpareCapacity);
+    std::stable_sort(candidates.begin(), candidates.end(), hasMoreSpareCapacity);
     if (candidates.size() == 1 && candidates.front().spareCapacity > 0) {
-        std::vector<EntryCandidate> others = select([&](const membership::MemberEntry &member) {
-            return member.info.region != region && member.status.spareCapacity > 0;
-        });
-        std::stable_sort(others.begin(), others.end(), bySpareCapacity);
-        others.resize(std::min(others.size(), options.relievingInstances));
-        if (!others.empty() && candidates.front().spareCapacity < options.alwaysListedShare * others.front().spareCapacity) {
-            for (EntryCandidate &other : others) {
-                other.relieves = true;
-                candidates.push_back(std::move(other));
-            }
-        }
+        addRelief(candidates, members, caller, options);
     }
     return candidates;
 }
--- a/src/ingress/entry_list_test.cpp
+++ b/src/ingress/entry_list_test.cpp
@@ -29,10 +29,22 @@
     members.apply(update, s_start);
 }
 
-std::vector<std::string> addresses(const membership::MemberTable &members, std::string_view region, std::string_view failureDomain, std::uint64_t seed = 1)
+std::vector<std::string> addressesFor(const membership::MemberTable &members, const EntryCaller &caller, std::uint64_t seed = 1)
 {
     base::SplitMix64 random(seed);
-    return sampleEntryAddresses(entryCandidates(members, region, failureDomain), random);
+    return sampleEntryAddresses(entryCandidates(members, caller), random);
+}
+
+std::vector<std::string> addresses(const membership::MemberTable &members, std::string_view region, std::string_view failureDomain, std::uint64_t seed = 1)
+{
+    return addressesFor(members, {region, failureDomain}, seed);
+}
+
+HomeRegions homesIn(const std::vector<std::string> &regions)
+{
+    HomeRegions homes;
+    homes.limitTo(regions);
+    return homes;
 }
 
 } // namespace
@@ -151,6 +163,47 @@
     BOOST_TEST(shareOfSingle(25) > shareOfSingle(10));
 }
 
+// Guards against callers whose routes have home regions and that are referred to other regions while an instance of their own is stopped
+// as planned.
+BOOST_AUTO_TEST_CASE(reliefStaysWithinTheHomeRegions)
+{
+    membership::MemberTable members(64);
+    addMember(members, 1, "east-a", "one", true, 1);
+    addMember(members, 2, "east-b", "one", false, 1);
+    for (std::uint64_t number = 3; number <= 5; ++number) {
+        addMember(members, number, "west", number == 5 ? "three" : "two", false, 100);
+    }
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        BOOST_TEST((addressesFor(members, {"one", "east-b", homesIn({"one"})}, seed) == std::vector<std::string>{"10.0.0.2:80"}));
+        for (const std::string &address : addressesFor(members, {"one", "east-b", homesIn({"one", "three"})}, seed)) {
+            BOOST_TEST((address == "10.0.0.2:80" || address == "10.0.0.5:80"));
+        }
+        BOOST_TEST((addressesFor(members, {"one", "east-b", HomeRegions::none()}, seed) == std::vector<std::string>{"10.0.0.2:80"}));
+    }
+}
+
+// Guards against the same referral when the only instance of a region is stopped as planned, and against callers who are told no
+// instance after the unplanned loss of their region.
+BOOST_AUTO_TEST_CASE(stoppedRegionIsReplacedWithinTheHomeRegions)
+{
+    membership::MemberTable members(64);
+    addMember(members, 1, "east", "one", true);
+    addMember(members, 2, "west", "two");
+    addMember(members, 3, "north", "three");
+    const auto withHomes = [&members](const std::vector<std::string> &homes) {
+        return addressesFor(members, {"one", "east", homesIn(homes)});
+    };
+    BOOST_TEST((withHomes({"one"}) == std::vector<std::string>{"10.0.0.1:80"}));
+    BOOST_TEST((withHomes({"one", "two"}) == std::vector<std::string>{"10.0.0.2:80"}));
+    BOOST_TEST(withHomes({}).size() == 2U);
+    members.report(base::IncarnationId{1}, membership::MemberState::Dead, s_start);
+    BOOST_TEST(withHomes({"one"}).empty());
+    addMember(members, 4, "east", "one");
+    BOOST_TEST((withHomes({"one"}) == std::vector<std::string>{"10.0.0.4:80"}));
+    members.report(base::IncarnationId{4}, membership::MemberState::Dead, s_start);
+    BOOST_TEST(withHomes({"one"}).size() == 2U);
+}
+
 // Guards against answers with a single instance when all other instances are much smaller, and against answers that omit small
 // instances after the large one has failed.
 BOOST_AUTO_TEST_CASE(minimumNumberOfInstancesIsListed)
--- a/src/ingress/route_index.cpp
+++ b/src/ingress/route_index.cpp
@@ -40,11 +40,22 @@
 
 RouteIndex::RouteIndex(const Configuration &configuration)
 {
+    HomeRegions accountHomes;
+    for (const Account &account : configuration.accounts) {
+        accountHomes.limitTo(account.homeRegions);
+    }
     for (const Route &route : configuration.routes) {
         m_hosts[route.host].insert_or_assign(route.prefix, std::make_shared<IndexedRoute>(route));
+        m_homes.try_emplace(route.host, accountHomes).first->second.limitTo(route.homeRegions);
     }
 }
 
+HomeRegions RouteIndex::homes(std::string_view host) const
+{
+    const auto found = m_homes.find(host);
+    return found == m_homes.end() ? HomeRegions::none() : found->second;
+}
+
 std::shared_ptr<IndexedRoute> RouteIndex::find(std::string_view host, std::string_view path) const
 {
     const auto routes = m_hosts.find(host);
--- a/src/ingress/route_index_test.cpp
+++ b/src/ingress/route_index_test.cpp
@@ -55,6 +55,25 @@
     BOOST_TEST(!index.find("a.example", ""));
 }
 
+// Guards against home regions of a route or an account that do not bind the lookups of the host.
+BOOST_AUTO_TEST_CASE(homesOfAHostAreThoseOfAllItsRoutesAndAccounts)
+{
+    Configuration configuration;
+    configuration.routes = {route("a.example", "/x/"), route("a.example", "/y/"), route("b.example", "/")};
+    configuration.routes[1].homeRegions = {"one"};
+    const RouteIndex withoutAccounts(configuration);
+    BOOST_TEST(withoutAccounts.homes("a.example").allow("one"));
+    BOOST_TEST(!withoutAccounts.homes("a.example").allow("two"));
+    BOOST_TEST(withoutAccounts.homes("b.example").allow("two"));
+    BOOST_TEST(!withoutAccounts.homes("c.example").allow("one"));
+    configuration.accounts.resize(2);
+    configuration.accounts[1].homeRegions = {"two"};
+    const RouteIndex withAccounts(configuration);
+    BOOST_TEST(!withAccounts.homes("a.example").allow("one"));
+    BOOST_TEST(withAccounts.homes("b.example").allow("two"));
+    BOOST_TEST(!withAccounts.homes("b.example").allow("one"));
+}
+
 // Guards against a service that gets more or less than its weight over few requests.
 RC_BOOST_PROP(splitFollowsWeights, ())
 {
