--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -140,8 +140,11 @@
     app.add_option("--upstream-body-bytes", settings.upstreamBodyBytes, "Bytes of request bodies in flight at one upstream, over all instances; 0: no limit")
         ->check(CLI::Range(0.0, 1e15));
     add(app, "--quota-window", quotaWindow, "QUOTA_WINDOW", "Sliding window of the quotas of accounts; 0s: quotas are not enforced", checkDuration);
-    app.add_option("--quota-overshoot", settings.quotaOvershoot, "Fraction by which all instances together may exceed a quota")->check(CLI::Range(0.0, 1.0));
+    app.add_option("--quota-overshoot", settings.quotaOvershoot, "Fraction by which all instances together may exceed a quota")
+        ->envname("TREFOILSTILE_QUOTA_OVERSHOOT")
+        ->check(CLI::Range(0.0, 1.0));
     app.add_option("--quota-slack", settings.quotaSlack, "Requests per window by which all instances together may exceed a quota in addition")
+        ->envname("TREFOILSTILE_QUOTA_SLACK")
         ->check(CLI::Range(0.0, 1e6));
     app.add_option("--first-start", settings.firstStart, "Whether the whole system starts for the first time: true or false");
     std::vector<std::string> reversed(arguments.rbegin(), arguments.rend()); // CLI11 expects the arguments in reverse order
--- a/src/proxy/settings_test.cpp
+++ b/src/proxy/settings_test.cpp
@@ -131,6 +131,24 @@
     BOOST_TEST(parseSettings(flag, s_variable).name == "other");
 }
 
+// Guards against a variable that overrides the settings file or a flag, and against an empty one that is taken for a value.
+BOOST_AUTO_TEST_CASE(variablesAreReadWhereFileAndFlagsSayNothing)
+{
+    ::setenv("TREFOILSTILE_QUOTA_SLACK", "30", 1);
+    ::setenv("TREFOILSTILE_QUOTA_OVERSHOOT", "", 1);
+    BOOST_TEST(parseSettings(requiredArguments(), s_variable).quotaSlack == 30.0);
+    BOOST_TEST(parseSettings(requiredArguments(), s_variable).quotaOvershoot == Settings().quotaOvershoot);
+    {
+        const SettingsFile file("quota-slack = 40\n");
+        BOOST_TEST(parseSettings(requiredArguments(), s_variable).quotaSlack == 40.0);
+        auto arguments = requiredArguments();
+        arguments.push_back("--quota-slack=50");
+        BOOST_TEST(parseSettings(arguments, s_variable).quotaSlack == 50.0);
+    }
+    ::unsetenv("TREFOILSTILE_QUOTA_SLACK");
+    ::unsetenv("TREFOILSTILE_QUOTA_OVERSHOOT");
+}
+
 // Guards against a start with defaults when the settings file that the environment variable names does not exist.
 BOOST_AUTO_TEST_CASE(missingFileIsAnError)
 {
