Treat responses with a status above 599 as failed

What callers saw: an upstream in trouble that sends a status which HTTP does not define.

Cause: ResponseReader checked the status against the lowest final one only.

Evidence: FaultyAnswers/invalidStatusIsNoAnswer tries 11 statuses. Before, 600 and 999 fail; 000, 001, 099, 101, 199 and malformed ones pass before and after.

Change: a status above 599 makes the response a failed one.

--- a/src/http/response_reader.cpp
+++ b/src/http/response_reader.cpp
@@ -19,6 +19,9 @@
 // More interim responses than any known use (100, 103) would send are taken for a fault.
 constexpr int s_interimLimit = 8;
 
+constexpr std::uint16_t s_lowestFinalStatus = 200;
+constexpr std::uint16_t s_highestStatus = 599; // no class of responses is defined above it
+
 } // namespace
 
 struct ResponseReader::State {
@@ -80,7 +83,8 @@
         }
         const std::string *encoding = findHeader(head.headers, "Transfer-Encoding");
         // No upgrade is ever asked for, and a body coding other than `chunked` alone could not be passed on.
-        if (head.status < 200 || (encoding != nullptr && !equalsIgnoreCase(*encoding, "chunked"))) {
+        const bool validStatus = head.status >= s_lowestFinalStatus && head.status <= s_highestStatus;
+        if (!validStatus || (encoding != nullptr && !equalsIgnoreCase(*encoding, "chunked"))) {
             break;
         }
         if (const auto length = parser.content_length()) {
