Make no further attempt that the end of a planned stop could cut off

Reported: requests that came late in the grace of a planned stop were passed on and cut off at its end, also such as may not be repeated.

Here: not for requests that arrive after the signal. What could be cut off is a request that arrived before the signal, with a time limit beyond the grace, when its first upstream refuses it late in the grace.

Cause: the rest of the grace was looked at when a request arrives, not before further attempts.

Evidence: nothingIsPassedOnThatTheEndOfTheGraceWouldCutOff fails 4 checks before.

Change: a further attempt needs a time limit that ends before the process does. Later arrivals are not affected, as their limit always ends in time.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -254,6 +254,9 @@
         m_outcome = "withdrawn_key";
         return m_mayHaveRun ? failRequest(m_outcome) : localResponse(401);
     }
+    if (!first && !m_core.stop.accepts(m_deadline - now, now)) {
+        return failRequest("stopping"); // the end of the process could cut the attempt off
+    }
     if (!first && !mayRetry(now)) {
         return failRequest("no_retry");
     }
