Believe a refusal on a kept connection only with the id of the request

Reported: a faulty upstream wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran (REFUSED), or such a request ran at a second upstream (TWICE).

Cause: a response without a request id was taken for the answer to the request in service. A refusal needs no signature, so it was believed as a proof. With the id of the earlier request it was skipped, but its pause was applied a second time.

Evidence: FaultyAnswers/repeatedRefusalIsNotTheAnswerToTheNextRequest tries six forms.

Change: on a kept connection a refusal without an id is skipped and the response behind it is read; on a new connection it is believed as before, since no other request was sent there. The load, leaving and pause in a response count only if it answers the request. Skipped responses are logged and counted.

Why it works: a not-run answer now rests on the id of the request or on a connection that carried no other one.

--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -157,6 +157,12 @@
     /// Records it if the upstream has reset the attempt's connection right after it was established.
     void noteConnectionReset(const Attempt &attempt, bool written, base::TimePoint now);
     boost::asio::awaitable<AttemptEnd> readResponse(std::shared_ptr<Attempt> attempt);
+    /// False for a response to an earlier request on the connection: one with another id, or a refusal without an id on a kept
+    /// connection, which would prove something about an unknown request.
+    bool answersRequest(const Attempt &attempt, const http::ResponseHead &head) const;
+    /// True if the response says that its request was not run.
+    bool isRefusal(const http::ResponseHead &head) const;
+    void logStrayResponse(const Attempt &attempt, const http::ResponseHead &head) const;
     /// Applies what the header fields say about the upstream itself: its load, that it leaves, that it wants no requests for a time.
     void applyUpstreamFields(Attempt &attempt, const http::ResponseHead &head) const;
     AttemptEnd interpret(http::ResponseHead head, ResponseBody body) const;
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -213,7 +213,10 @@
         }
         attempt->answered = true;
         attempt->bytes.received += http::fieldBytes(head.headers);
-        applyUpstreamFields(*attempt, head);
+        const bool own = answersRequest(*attempt, head);
+        if (own) {
+            applyUpstreamFields(*attempt, head);
+        }
         ResponseBody body(m_core.responseBudget);
         if (!body.reserve(m_request.method == "HEAD" ? 0 : head.contentLength.value_or(0))) {
             logGivenUp(*attempt, head.contentLength.value_or(0));
@@ -234,9 +237,9 @@
         if (state != http::BodyRead::End || !fits) {
             break;
         }
-        const std::string *id = http::findHeader(head.headers, m_core.names.requestId);
-        if (id != nullptr && *id != m_id) {
-            continue; // a late response to an earlier request on this connection: skip it
+        if (!own) {
+            logStrayResponse(*attempt, head);
+            continue;
         }
         if (reader.reusable()) {
             const std::string *keepAlive = http::findHeader(head.headers, "Keep-Alive");
@@ -251,6 +254,20 @@
     co_return AttemptEnd{AttemptVerdict::Broken, true, false, std::nullopt};
 }
 
+bool Exchange::answersRequest(const Attempt &attempt, const http::ResponseHead &head) const
+{
+    if (const std::string *id = http::findHeader(head.headers, m_core.names.requestId)) {
+        return *id == m_id;
+    }
+    const bool kept = !attempt.connectedAt;
+    return !kept || !isRefusal(head);
+}
+
+bool Exchange::isRefusal(const http::ResponseHead &head) const
+{
+    return http::findHeader(head.headers, m_core.names.notRun) != nullptr || head.status == 421;
+}
+
 void Exchange::applyUpstreamFields(Attempt &attempt, const http::ResponseHead &head) const
 {
     if (head.status == 421) {
@@ -280,7 +297,7 @@
 AttemptEnd Exchange::interpret(http::ResponseHead head, ResponseBody body) const
 {
     AttemptEnd end{AttemptVerdict::Broken, true, false, std::nullopt};
-    if (http::findHeader(head.headers, m_core.names.notRun) != nullptr || head.status == 421) {
+    if (isRefusal(head)) {
         end.verdict = head.status == 421 ? AttemptVerdict::Misdirected : AttemptVerdict::Shed;
         end.provedNotRun = true;
         return end;
--- a/src/proxy/exchange_log.cpp
+++ b/src/proxy/exchange_log.cpp
@@ -70,6 +70,15 @@
 
 } // namespace
 
+void Exchange::logStrayResponse(const Attempt &attempt, const http::ResponseHead &head) const
+{
+    m_core.metrics.increment("trefoilstile_stray_responses_total", {{"service", m_service}});
+    const std::string *id = http::findHeader(head.headers, m_core.names.requestId);
+    LogLine line("stray_response");
+    line.text("upstream", attempt.upstream->report.id).text("id", m_id).number("status", head.status).text("answers", id == nullptr ? "" : *id);
+    m_core.log.write(line, http::now());
+}
+
 void Exchange::logGivenUp(const Attempt &attempt, std::uint64_t bytes) const
 {
     m_core.metrics.increment("trefoilstile_responses_given_up_total", {{"service", m_service}});
--- a/src/proxy/faulty_answers_test.cpp
+++ b/src/proxy/faulty_answers_test.cpp
@@ -9,6 +9,18 @@
 
 using namespace testing;
 
+namespace
+{
+
+/// A refusal that proves that its request was not run; without an id if `id` is empty.
+std::string refusal(const std::string &id, const std::string &status, const std::string &fields = {})
+{
+    const std::string idField = id.empty() ? "" : "Trefoilstile-Request-Id: " + id + "\r\n";
+    return "HTTP/1.1 " + status + "\r\n" + idField + fields + "Trefoilstile-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(FaultyAnswers)
 
 // Guards against a response whose status is no status of the protocol, such as 000, that reaches the caller as an answer.
@@ -29,6 +41,44 @@
     }
 }
 
+// Guards against a refusal of an earlier request that is taken for the refusal of the next one on a kept connection: the caller would be
+// told that the request did not run, or it would run at a second upstream. Some upstreams leave out the id.
+BOOST_AUTO_TEST_CASE(repeatedRefusalIsNotTheAnswerToTheNextRequest)
+{
+    struct Case {
+        std::string id; ///< in the repeated refusal
+        std::string status;
+    };
+    const std::vector<Case> cases{
+        {"r1", "503 Busy"}, {"r1", "421 Misdirected"}, {"", "503 Busy"}, {"", "429 Busy"}, {"", "400 Bad Request"}, {"", "421 Misdirected"}};
+    for (const Case &tried : cases) {
+        int received = 0;
+        EntryFixture entry([&](const std::string &head) {
+            // The second request gets the earlier refusal once more, and its own answer behind it.
+            return ++received == 1 ? ScriptedReply{refusal("r1", tried.status)}
+                                   : ScriptedReply{refusal(tried.id, tried.status, "Retry-After: 5\r\n") + signedResponse(idOf(head), "hello")};
+        });
+        BOOST_TEST_CONTEXT("id '" << tried.id << "' status " << tried.status)
+        {
+            BOOST_TEST(startsWith(entry.send(request("/holds/1", "r1", "POST"), "\r\n\r\n"), "HTTP/1.1 503"));
+            const std::string response = entry.send(request("/holds/1", "r2", "POST"), "\r\n\r\n");
+            BOOST_TEST(startsWith(response, "HTTP/1.1 200"));
+            BOOST_TEST(received == 2);
+            BOOST_TEST(entry.upstreams.front()->connectionsEndedByPeer == 0); // the second request used the kept connection
+            BOOST_TEST(!entry.core.upstreamTable.quiet(*entry.core.upstreamTable.ofService("ledger").front(), http::now()));
+        }
+    }
+}
+
+// Guards against a refusal without an id that is not believed where it cannot be of another request, on a new connection.
+BOOST_AUTO_TEST_CASE(refusalWithoutIdIsBelievedOnANewConnection)
+{
+    EntryFixture entry([](const std::string &) {
+        return ScriptedReply{refusal("", "503 Busy")};
+    });
+    BOOST_TEST(startsWith(entry.send(request("/holds/1", "r1", "POST"), "\r\n\r\n"), "HTTP/1.1 503"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
