Refer no caller outside its home regions right after a start

What callers saw: an instance that had just started named itself to callers of another region whose routes have their home there, while instances of that region ran.

Cause: it took the region for lost, as it did not know any of its members yet.

Before the join an instance names itself only to callers who may use it; that window was not hit in the test, and the check is tested by itself (callersUseTheirOwnRegionAndTheHomes).

--- a/include/trefoilstile/ingress/entry_list.hpp
+++ b/include/trefoilstile/ingress/entry_list.hpp
@@ -29,6 +29,8 @@
     /// Instances of other regions that take callers of a region whose only instance has little spare capacity left. With three, the only
     /// instance keeps a quarter of the callers when it has none left.
     std::size_t relievingInstances = 3;
+    /// False shortly after the start of this instance, when others may run that it does not know yet.
+    bool membersKnown = true;
 };
 
 /// Caller for whom an answer is made.
@@ -37,6 +39,12 @@
     std::string_view failureDomain;
     /// Regions other than the caller's own to which the caller may be referred.
     HomeRegions homes{};
+
+    /// True if the caller may use instances of the region.
+    bool mayUse(std::string_view instanceRegion) const
+    {
+        return instanceRegion == region || homes.allow(instanceRegion);
+    }
 };
 
 /// An instance that may be listed in an answer.
@@ -49,8 +57,8 @@
 /// Candidates for a caller: the instances of its failure domain if there are at least `minimumAddresses`, otherwise those of its
 /// region. A single instance of a region whose spare capacity is known to be below `alwaysListedShare` of the largest elsewhere is
 /// relieved by instances of other regions that `homes` allows. If the region has no instance, those of the other regions that
-/// `homes` allows are candidates; without any, the instances of the region that are leaving, as long as all that is known of the
-/// region is a planned stop, and after an unplanned loss all instances.
+/// `homes` allows are candidates. Without any, all instances are if the region has been lost without a plan; after a planned stop
+/// only the instances of the region that are still leaving are.
 ///
 /// Apart from that case, only instances that are alive, not silent and not leaving are candidates. Sorted by descending spare
 /// capacity, unknown capacity first.
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -161,12 +161,14 @@
     http::OperatorResponse lookup(std::string_view query)
     {
         const EntryLookup request = Platform::decodeLookup(query);
+        const ingress::EntryCaller caller{
+            request.region, request.failureDomain, m_core.routes ? m_core.routes->homes(request.host) : ingress::HomeRegions::none()};
         std::vector<std::string> addresses;
         if (m_members) {
-            const ingress::EntryCaller caller{
-                request.region, request.failureDomain, m_core.routes ? m_core.routes->homes(request.host) : ingress::HomeRegions::none()};
-            addresses = ingress::sampleEntryAddresses(ingress::entryCandidates(m_members->members(), caller), m_core.random);
-        } else if (ready()) {
+            ingress::EntryListOptions options;
+            options.membersKnown = http::now() >= m_joinedAt + s_settleTime;
+            addresses = ingress::sampleEntryAddresses(ingress::entryCandidates(m_members->members(), caller, options), m_core.random, options);
+        } else if (ready() && caller.mayUse(m_core.settings.region)) {
             addresses.push_back(m_core.settings.callerAddress); // before joining, this is the only known instance
         }
         m_core.metrics.increment("trefoilstile_lookups_total", {{"answered", addresses.empty() ? "no" : "yes"}});
--- a/src/ingress/entry_list.cpp
+++ b/src/ingress/entry_list.cpp
@@ -39,38 +39,38 @@
     });
 }
 
-/// True if members of the region are known, and each of them has announced that it leaves.
-bool hasLeft(const membership::MemberTable &members, std::string_view region)
+/// True if the region has lost an instance that had not announced that it leaves, or has had none for longer than is remembered.
+bool isLost(const membership::MemberTable &members, std::string_view region, const EntryListOptions &options)
 {
     bool known = false;
     for (const auto &[incarnation, member] : members.entries()) {
         if (member.info.region == region) {
             if (!member.isLeaving()) {
-                return false;
+                return true;
             }
             known = true;
         }
     }
-    return known;
+    return !known && options.membersKnown;
 }
 
 /// Candidates for a caller whose region has no instance that stays.
-std::vector<EntryCandidate> candidatesElsewhere(const membership::MemberTable &members, const EntryCaller &caller)
+std::vector<EntryCandidate> candidatesElsewhere(const membership::MemberTable &members, const EntryCaller &caller, const EntryListOptions &options)
 {
     std::vector<EntryCandidate> candidates = selectStaying(members, [&caller](const MemberEntry &member) {
-        return caller.homes.allow(member.info.region);
+        return caller.mayUse(member.info.region);
     });
     if (!candidates.empty()) {
         return candidates;
     }
-    if (hasLeft(members, caller.region)) {
-        // They serve what ends before they do, and refuse the rest, which the caller can repeat.
-        return select(members, [&caller](const MemberEntry &member) {
-            return member.info.region == caller.region;
+    if (isLost(members, caller.region, options)) {
+        return selectStaying(members, [](const MemberEntry &) {
+            return true;
         });
     }
-    return selectStaying(members, [](const MemberEntry &) {
-        return true;
+    // They serve what ends before they do, and refuse the rest, which the caller can repeat.
+    return select(members, [&caller](const MemberEntry &member) {
+        return member.info.region == caller.region;
     });
 }
 
@@ -84,7 +84,7 @@
 void addRelief(std::vector<EntryCandidate> &candidates, const membership::MemberTable &members, const EntryCaller &caller, EntryListOptions options)
 {
     std::vector<EntryCandidate> others = selectStaying(members, [&caller](const MemberEntry &member) {
-        return member.info.region != caller.region && caller.homes.allow(member.info.region) && member.status.spareCapacity > 0;
+        return member.info.region != caller.region && caller.mayUse(member.info.region) && member.status.spareCapacity > 0;
     });
     std::stable_sort(others.begin(), others.end(), hasMoreSpareCapacity);
     others.resize(std::min(others.size(), options.relievingInstances));
@@ -110,7 +110,7 @@
         });
     }
     if (candidates.empty()) {
-        candidates = candidatesElsewhere(members, caller);
+        candidates = candidatesElsewhere(members, caller, options);
     }
     std::stable_sort(candidates.begin(), candidates.end(), hasMoreSpareCapacity);
     if (candidates.size() == 1 && candidates.front().spareCapacity > 0) {
--- a/src/ingress/entry_list_test.cpp
+++ b/src/ingress/entry_list_test.cpp
@@ -182,6 +182,28 @@
     }
 }
 
+// Guards against an instance that has just started, takes a region for lost because it knows none of its instances yet, and names itself.
+BOOST_AUTO_TEST_CASE(unknownRegionIsNotTakenForLostAfterAStart)
+{
+    membership::MemberTable members(64);
+    addMember(members, 1, "west", "two");
+    EntryListOptions options;
+    options.membersKnown = false;
+    BOOST_TEST(entryCandidates(members, {"one", "east", homesIn({"one"})}, options).empty());
+    BOOST_TEST(entryCandidates(members, {"one", "east"}, options).size() == 1U);
+    options.membersKnown = true;
+    BOOST_TEST(entryCandidates(members, {"one", "east", homesIn({"one"})}, options).size() == 1U);
+}
+
+// Guards against an instance that names itself to callers who must stay in other regions, before it knows another one.
+BOOST_AUTO_TEST_CASE(callersUseTheirOwnRegionAndTheHomes)
+{
+    const EntryCaller caller{"one", "east", homesIn({"two"})};
+    BOOST_TEST(caller.mayUse("one"));
+    BOOST_TEST(caller.mayUse("two"));
+    BOOST_TEST(!caller.mayUse("three"));
+}
+
 // Guards against the same referral when the only instance of a region is stopped as planned, and against callers who are told no
 // instance after the unplanned loss of their region.
 BOOST_AUTO_TEST_CASE(stoppedRegionIsReplacedWithinTheHomeRegions)
