Doubt a refusal without an id behind a stray response too

Cause: on a new connection a refusal without an id was believed even after a response to another request had come on it, which shows that the upstream mixes up responses.

Evidence: FaultyAnswers/refusalBehindAStrayResponseNeedsTheId fails without this change (the caller gets 503 and the upstream had run the request).

Change: such a refusal is believed only as the first response on a new connection.

--- a/include/trefoilstile/proxy/exchange.hpp
+++ b/include/trefoilstile/proxy/exchange.hpp
@@ -157,9 +157,9 @@
     /// Records it if the upstream has reset the attempt's connection right after it was established.
     void noteConnectionReset(const Attempt &attempt, bool written, base::TimePoint now);
     boost::asio::awaitable<AttemptEnd> readResponse(std::shared_ptr<Attempt> attempt);
-    /// False for a response to an earlier request on the connection: one with another id, or a refusal without an id on a kept
-    /// connection, which would prove something about an unknown request.
-    bool answersRequest(const Attempt &attempt, const http::ResponseHead &head) const;
+    /// False for a response with the id of another request, and for a refusal without an id that may be the one of another request.
+    /// @param connectionIsNew no other request and no response to one has been seen on the connection
+    bool answersRequest(const http::ResponseHead &head, bool connectionIsNew) const;
     /// True if the response says that its request was not run.
     bool isRefusal(const http::ResponseHead &head) const;
     void logStrayResponse(const Attempt &attempt, const http::ResponseHead &head) const;
--- a/src/proxy/exchange_attempt.cpp
+++ b/src/proxy/exchange_attempt.cpp
@@ -213,7 +213,8 @@
         }
         attempt->answered = true;
         attempt->bytes.received += http::fieldBytes(head.headers);
-        const bool own = answersRequest(*attempt, head);
+        const bool connectionIsNew = attempt->connectedAt && stray == 0;
+        const bool own = answersRequest(head, connectionIsNew);
         if (own) {
             applyUpstreamFields(*attempt, head);
         }
@@ -254,13 +255,12 @@
     co_return AttemptEnd{AttemptVerdict::Broken, true, false, std::nullopt};
 }
 
-bool Exchange::answersRequest(const Attempt &attempt, const http::ResponseHead &head) const
+bool Exchange::answersRequest(const http::ResponseHead &head, bool connectionIsNew) const
 {
     if (const std::string *id = http::findHeader(head.headers, m_core.names.requestId)) {
         return *id == m_id;
     }
-    const bool kept = !attempt.connectedAt;
-    return !kept || !isRefusal(head);
+    return connectionIsNew || !isRefusal(head);
 }
 
 bool Exchange::isRefusal(const http::ResponseHead &head) const
--- a/src/proxy/faulty_answers_test.cpp
+++ b/src/proxy/faulty_answers_test.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+// Guards against the same on a new connection, after a response to another request.
+BOOST_AUTO_TEST_CASE(refusalBehindAStrayResponseNeedsTheId)
+{
+    EntryFixture entry([](const std::string &received) {
+        return ScriptedReply{signedResponse("other", "wrong") + refusal("", "503 Busy") + signedResponse(idOf(received), "hello")};
+    });
+    BOOST_TEST(startsWith(entry.send(request("/holds/1", "r1", "POST"), "\r\n\r\n"), "HTTP/1.1 200"));
+}
+
 // Guards against a refusal without an id that is not believed where it cannot be of another request, on a new connection.
 BOOST_AUTO_TEST_CASE(refusalWithoutIdIsBelievedOnANewConnection)
 {
