Reword the candidates of lookups and rename their selection

The comment of entryCandidates did not say in one place which instances a caller without an instance in its region is told. No change of behaviour; EntryList passes.

--- a/include/trefoilstile/ingress/entry_list.hpp
+++ b/include/trefoilstile/ingress/entry_list.hpp
@@ -56,12 +56,14 @@
 
 /// Candidates for a caller: the instances of its failure domain if there are at least `minimumAddresses`, otherwise those of its
 /// region. A single instance of a region whose spare capacity is known to be below `alwaysListedShare` of the largest elsewhere is
-/// relieved by instances of other regions that `homes` allows. If the region has no instance, those of the other regions that
-/// `homes` allows are candidates. Without any, all instances are if the region has been lost without a plan; after a planned stop
-/// only the instances of the region that are still leaving are.
+/// relieved by instances of other regions that `homes` allows.
 ///
-/// Apart from that case, only instances that are alive, not silent and not leaving are candidates. Sorted by descending spare
-/// capacity, unknown capacity first.
+/// If the region has no instance, those of the other regions that `homes` allows are candidates. If these have none either, it
+/// depends on what is known of the region: all instances if it was lost without a plan, otherwise its instances that are still
+/// leaving, so that the answer may be empty.
+///
+/// Candidates are alive, not silent and, but for that last case, not leaving. Sorted by descending spare capacity, unknown capacity
+/// first.
 std::vector<EntryCandidate> entryCandidates(const membership::MemberTable &members, const EntryCaller &caller, EntryListOptions options = {});
 
 /// Probability of each candidate to be listed in an answer, in proportion to its spare capacity.
--- a/src/ingress/entry_list.cpp
+++ b/src/ingress/entry_list.cpp
@@ -12,29 +12,24 @@
 
 using membership::MemberEntry;
 
-/// True if the instance is running as far as is known.
-bool isReachable(const MemberEntry &member)
-{
-    return member.isAlive() && !member.silent;
-}
-
+/// Instances that are running as far as is known and for which the predicate holds.
 template<typename Predicate>
-std::vector<EntryCandidate> select(const membership::MemberTable &members, Predicate matches)
+std::vector<EntryCandidate> selectRunning(const membership::MemberTable &members, Predicate matches)
 {
     std::vector<EntryCandidate> candidates;
     for (const auto &[incarnation, member] : members.entries()) {
-        if (isReachable(member) && matches(member)) {
+        if (member.isAlive() && !member.silent && matches(member)) {
             candidates.push_back({member.info.callerAddress, static_cast<double>(member.status.spareCapacity)});
         }
     }
     return candidates;
 }
 
-/// Instances that are not leaving and for which the predicate holds.
+/// Running instances that are not leaving and for which the predicate holds.
 template<typename Predicate>
 std::vector<EntryCandidate> selectStaying(const membership::MemberTable &members, Predicate matches)
 {
-    return select(members, [&matches](const MemberEntry &member) {
+    return selectRunning(members, [&matches](const MemberEntry &member) {
         return !member.isLeaving() && matches(member);
     });
 }
@@ -68,8 +63,8 @@
             return true;
         });
     }
-    // They serve what ends before they do, and refuse the rest, which the caller can repeat.
-    return select(members, [&caller](const MemberEntry &member) {
+    // Instances that leave serve what ends before they do, and refuse the rest, which the caller can repeat.
+    return selectRunning(members, [&caller](const MemberEntry &member) {
         return member.info.region == caller.region;
     });
 }
