Show that followers miss an evacuation after a drill of the store

Promise: EVAC, nothing is sent to a zone `evacuate` after its evacuation. Case: review/12. The store comes back from a copy 4 s old. The readers of a zone get the evacuation with a version below the one that their followers know, and hand out only what is newer.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")"
+command -v python3 >/dev/null || exit 2
+exec python3 case.py
