Order rows of the store by its era before their version

Cause: versions are given out again in the new era, and an instance dropped each row with a version below one that it knew. No code read the header `Store-Era`.

Change: a position is the pair (era, version), ordered as a pair, in rows, table copies, reads of changes, reports of what an instance knows and the lag monitor. Changes since an earlier era are not taken for complete: the reader reads the table anew, once, up to 0.2 s later. A lower era never replaces a higher one. What the store has lost stays in effect until its writer has written again; a row that the store's copy holds is recognized by what was known before. No write has a version as its condition any more: rows are written unconditionally or only if they do not exist.

Why it works: within an era versions only rise, and the pair makes each row of the new era newer than all rows of the earlier one.

--- a/include/trefoilstile/feed/lag_monitor.hpp
+++ b/include/trefoilstile/feed/lag_monitor.hpp
@@ -1,15 +1,15 @@
-// Detects that other instances know a newer version of a table than this one for longer than the usual delay.
+// Detects that other instances know a newer position of a table than this one for longer than the usual delay.
 //
 // A reader can be cut off from the store without noticing: its pending call for changes stays silent. Instances therefore tell each
-// other the version of the last change that they know, and one that is behind fetches the changes from an instance that has them.
+// other the position of the last change that they know, and one that is behind fetches the changes from an instance that has them.
 #pragma once
 
 #include <chrono>
-#include <cstdint>
 #include <optional>
 #include <string>
 
 #include "trefoilstile/base/time.hpp"
+#include "trefoilstile/feed/position.hpp"
 
 namespace trefoilstile::feed
 {
@@ -39,21 +39,21 @@
 
     /// Records that an instance knows the table up to a change.
     /// @param address of that instance
-    /// @param known version up to which this instance knows the table
-    void heard(std::uint64_t version, const std::string &address, std::uint64_t known, base::TimePoint now);
+    /// @param known position up to which this instance knows the table
+    void heard(Position position, const std::string &address, Position known, base::TimePoint now);
 
     /// Address of an instance to fetch changes from now; nothing if this instance is not behind for too long.
-    std::optional<std::string> due(std::uint64_t known, base::TimePoint now);
+    std::optional<std::string> due(Position known, base::TimePoint now);
 
-    /// Highest version heard of.
-    std::uint64_t highest() const
+    /// Highest position heard of.
+    Position highest() const
     {
         return m_highest;
     }
 
 private:
     LagOptions m_options;
-    std::uint64_t m_highest{};
+    Position m_highest;
     std::string m_address; ///< of an instance that knows `m_highest`
     std::optional<base::TimePoint> m_behindSince;
     base::TimePoint m_nextAttempt;
--- a/include/trefoilstile/peer/payload.hpp
+++ b/include/trefoilstile/peer/payload.hpp
@@ -12,6 +12,7 @@
 
 #include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/base/time.hpp"
+#include "trefoilstile/feed/position.hpp"
 #include "trefoilstile/membership/messages.hpp"
 #include "trefoilstile/quota/usage.hpp"
 #include "trefoilstile/steering/version.hpp"
@@ -153,12 +154,12 @@
     friend bool operator==(const UpstreamLoad &, const UpstreamLoad &) = default;
 };
 
-/// Version of the last change of a table that the sender knows.
-struct TableVersion {
+/// Position of the last change of a table that the sender knows.
+struct TablePosition {
     std::string table;
-    std::uint64_t version{};
+    feed::Position position; ///< era 0 from a sender that knows no eras
 
-    friend bool operator==(const TableVersion &, const TableVersion &) = default;
+    friend bool operator==(const TablePosition &, const TablePosition &) = default;
 };
 
 /// Load of an upstream of a service from which it resets new connections.
@@ -173,7 +174,7 @@
 struct LoadReport {
     std::vector<UpstreamLoad> loads; ///< reported by upstreams since the sender's last `LoadReport`
     std::vector<std::uint64_t> leavingRuns; ///< runs of upstreams that have announced that they leave
-    std::vector<TableVersion> tables;
+    std::vector<TablePosition> tables;
     std::string peerAddress; ///< of the sender, for requests for changes of `tables`
     std::vector<ConnectionLoadLimit> connectionLimits{};
 
@@ -183,7 +184,7 @@
 /// Asks for the changes of a table of the store. The answer is one `FeedResponse`.
 struct FeedRequest {
     std::string table;
-    std::uint64_t after{}; ///< version that the sender has
+    feed::Position after; ///< that the sender has
     bool completeRead = false; ///< part of a complete read, the first part with `after` 0
     base::Duration wait{}; ///< how long the answer may wait for a change; 0: answer at once, also if the receiver is no reader
     bool storeAvailable = true; ///< what the sender knows; a difference is answered at once
@@ -195,7 +196,7 @@
 enum class FeedStatus : std::uint8_t {
     Changes, ///< the response contains the changes known to the responder
     NotReader, ///< the responder does not follow the store now; ask another reader
-    HistoryLost, ///< the responder does not know all removals since the version; read the table completely
+    HistoryLost, ///< the responder does not know all removals since the position; read the table completely
     NotReady, ///< the responder has started and does not have the table yet; ask again soon
 };
 
@@ -205,6 +206,7 @@
     std::string value;
     std::uint64_t version{};
     bool removed = false;
+    std::optional<std::uint64_t> era{}; ///< if it is not that of the response
 
     friend bool operator==(const FeedRow &, const FeedRow &) = default;
 };
@@ -220,7 +222,7 @@
 struct FeedResponse {
     FeedStatus status = FeedStatus::NotReader;
     std::string table;
-    std::uint64_t version{}; ///< the receiver has the table up to this version once it has applied the rows
+    feed::Position position; ///< the receiver has the table up to this position once it has applied the rows
     bool more = false; ///< further changes are known; ask again
     bool storeAvailable = false; ///< the store answered the last call of the responder
     FeedRows rows;
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -48,8 +48,9 @@
         , m_core(context, std::move(settings), Platform::headerNames(), m_seed)
         , m_store(context, m_core.settings.storeAddress)
         , m_join(m_core, m_store)
-        , m_operator(m_core, m_store, OperatorRows<Platform>(m_core), Platform::operatorTable(), feedCall(), TableWatchOptions())
-        , m_upstreams(m_core, m_store, UpstreamRows<Platform>(m_core), Platform::upstreamTable(), feedCall(), watchOptions(m_core.settings.leavingBound))
+        , m_operator(m_core, m_store, OperatorRows<Platform>(m_core), Platform::operatorTable(), feedCall(), operatorWatchOptions())
+        , m_upstreams(
+              m_core, m_store, UpstreamRows<Platform>(m_core), Platform::upstreamTable(), feedCall(), upstreamWatchOptions(m_core.settings.leavingBound))
         , m_incarnation{m_core.random.next()}
         , m_quotaLink(m_core, m_incarnation)
         , m_timer(context)
--- a/include/trefoilstile/proxy/feed_router.hpp
+++ b/include/trefoilstile/proxy/feed_router.hpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdint>
 #include <functional>
 #include <iterator>
 #include <optional>
@@ -73,23 +72,24 @@
                 continue;
             }
             // Built before the call: g++ 12 destroys aggregates twice that are built within a `co_await` expression.
-            peer::FeedRequest request{table, 0, true, {}, true};
+            peer::FeedRequest request{table, {}, true, {}, true};
             std::optional<StoreResult> result = co_await readPages(source.address, std::move(request));
             if (result) {
                 recordAnswer(source.address, result->sourceAvailable);
+                m_storeAvailable = result->sourceAvailable;
                 co_return std::move(*result);
             }
             recordFailure(source.address, m_notReady);
         }
     }
 
-    boost::asio::awaitable<StoreResult> readChanges(std::string table, std::uint64_t after, base::Duration wait)
+    boost::asio::awaitable<StoreResult> readChanges(std::string table, feed::Position after, base::Duration wait)
     {
         while (true) {
             const feed::Source source = m_policy.next(http::now());
             if (source.kind == feed::Source::Kind::Store) {
                 const base::Duration poll = m_policy.isReader() ? wait : std::min(wait, m_times.storePoll);
-                co_return recordStore(co_await m_store.readChanges(table, after, poll));
+                co_return recordStore(checkedEra(co_await m_store.readChanges(table, after, poll), after));
             }
             if (source.kind == feed::Source::Kind::Wait) {
                 co_await sleep(source.pause);
@@ -102,15 +102,18 @@
             const bool answered = response && (response->status == peer::FeedStatus::Changes || response->status == peer::FeedStatus::HistoryLost);
             std::optional<StoreResult> result = answered ? resultOf(*response, after) : std::nullopt;
             if (result) {
-                recordAnswer(source.address, response->storeAvailable);
+                // A reader that has not noticed the era that this instance knows is of no more use than one that lacks the store.
+                result->sourceAvailable = result->sourceAvailable && response->position.era >= after.era;
+                recordAnswer(source.address, result->sourceAvailable);
+                m_storeAvailable = response->storeAvailable; // what the reader says, or it would answer the next request at once
                 co_return std::move(*result);
             }
             recordFailure(source.address, response && response->status == peer::FeedStatus::NotReady);
         }
     }
 
-    /// Changes after a version from a given instance, asked for once; nothing if it does not answer or lacks the history.
-    boost::asio::awaitable<std::optional<StoreResult>> readOnce(std::string address, std::string table, std::uint64_t after)
+    /// Changes after a position from a given instance, asked for once; nothing if it does not answer or lacks the history.
+    boost::asio::awaitable<std::optional<StoreResult>> readOnce(std::string address, std::string table, feed::Position after)
     {
         return readPages(std::move(address), {std::move(table), after, false, {}, true});
     }
@@ -151,7 +154,7 @@
             std::move(result->rows.begin(), result->rows.end(), std::back_inserter(all.rows));
             result->rows = std::move(all.rows);
             all = std::move(*result);
-            request.after = all.version;
+            request.after = all.position;
             if (!response->more) {
                 co_return all;
             }
@@ -160,7 +163,7 @@
     }
 
     /// Nothing if the rows are malformed.
-    static std::optional<StoreResult> resultOf(const peer::FeedResponse &response, std::uint64_t after)
+    static std::optional<StoreResult> resultOf(const peer::FeedResponse &response, feed::Position after)
     {
         const std::optional<std::vector<peer::FeedRow>> rows = peer::decodeFeedRows(response.rows);
         if (!rows) {
@@ -168,12 +171,12 @@
         }
         StoreResult result;
         result.status = response.status == peer::FeedStatus::Changes ? StoreStatus::Ok : StoreStatus::HistoryLost;
-        result.version = std::max(response.version, after);
+        result.position = std::max(response.position, after);
         result.sourceAvailable = response.storeAvailable;
         result.coalesced = true;
         result.rows.reserve(rows->size());
         for (const peer::FeedRow &row : *rows) {
-            result.rows.push_back({row.key, row.value, row.version, row.removed});
+            result.rows.push_back({row.key, row.value, {row.era.value_or(response.position.era), row.version}, row.removed});
         }
         return result;
     }
@@ -181,7 +184,6 @@
     void recordAnswer(const std::string &address, bool storeAvailable)
     {
         m_followed = address;
-        m_storeAvailable = storeAvailable;
         if (storeAvailable) {
             m_policy.succeeded(address);
         } else {
--- a/include/trefoilstile/proxy/feed_server.hpp
+++ b/include/trefoilstile/proxy/feed_server.hpp
@@ -63,12 +63,12 @@
         base::TimePoint until;
     };
 
-    /// Encoded answer with changes; valid while the copy is at `copyVersion`.
+    /// Encoded answer with changes; valid while the copy is at `copyPosition`.
     struct Answer {
         std::string table;
-        std::uint64_t after{};
+        feed::Position after;
         bool completeRead = false;
-        std::uint64_t copyVersion{};
+        feed::Position copyPosition;
         peer::FeedResponse response; ///< without the availability of the store
     };
 
--- a/include/trefoilstile/proxy/fleet_register.hpp
+++ b/include/trefoilstile/proxy/fleet_register.hpp
@@ -55,7 +55,8 @@
         StoreResult keys = co_await m_store.readAll(s_keyTable);
         if (keys.status == StoreStatus::Ok && keys.rows.empty()) {
             const std::string newKey = base::toHex({m_core.random.next()}) + base::toHex({m_core.random.next()});
-            co_await m_store.writeIf(s_keyTable, s_keyRow, newKey, 0); // fails if another instance has created the key meanwhile
+            std::vector<NewRow> rows{{s_keyRow, newKey}};
+            co_await m_store.create(s_keyTable, std::move(rows)); // fails if another instance has created the key meanwhile
             keys = co_await m_store.readAll(s_keyTable);
         }
         if (keys.status != StoreStatus::Ok || keys.rows.empty()) {
--- a/include/trefoilstile/proxy/fleet_report.hpp
+++ b/include/trefoilstile/proxy/fleet_report.hpp
@@ -5,15 +5,16 @@
 #include <string>
 #include <vector>
 
+#include "trefoilstile/feed/position.hpp"
 #include "trefoilstile/ingress/upstream_table.hpp"
 
 namespace trefoilstile::proxy
 {
 
-/// Version of the last change of a table of the store that the sender knows.
+/// Position of the last change of a table of the store that the sender knows.
 struct KnownTable {
     std::string table;
-    std::uint64_t lastChange{};
+    feed::Position lastChange;
 };
 
 struct FleetReport {
--- a/include/trefoilstile/proxy/table_rows.hpp
+++ b/include/trefoilstile/proxy/table_rows.hpp
@@ -72,7 +72,7 @@
         }
         m_core.upstreamTable.setEvacuated(m_evacuated, now);
         LogLine line("evacuation");
-        line.text("failure_domain", domain).flag("evacuated", !row.removed).number("store_version", static_cast<std::int64_t>(row.version));
+        line.text("failure_domain", domain).flag("evacuated", !row.removed).number("store_version", static_cast<std::int64_t>(row.position.version));
         m_core.log.write(line, now, true);
     }
 
@@ -80,7 +80,7 @@
     {
         const base::TimePoint now = http::now();
         LogLine line("configuration");
-        line.number("store_version", static_cast<std::int64_t>(row.version));
+        line.number("store_version", static_cast<std::int64_t>(row.position.version));
         try {
             ingress::Configuration configuration = Platform::decodeConfiguration(row.value);
             const std::uint64_t version = configuration.version;
@@ -127,7 +127,7 @@
     {
         const base::TimePoint now = http::now();
         LogLine line("upstream");
-        line.text("upstream", row.key).number("store_version", static_cast<std::int64_t>(row.version));
+        line.text("upstream", row.key).number("store_version", static_cast<std::int64_t>(row.position.version));
         if (row.removed) {
             m_core.upstreamTable.remove(row.key, now);
             line.text("state", "removed");
--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -3,6 +3,9 @@
 //
 // Known rows are kept while the store does not respond. If the store no longer has the history of changes, the table is read
 // again, and known rows that are missing from it are reported as removed. Rows that have not changed are not reported again.
+//
+// A new era of the store leads to one complete read. Rows that `feed::TableCopy` keeps then are settled after a time in which their
+// writers write again.
 #pragma once
 
 #include <algorithm>
@@ -42,15 +45,32 @@
     base::Duration maximumBackoff = std::chrono::milliseconds(1'000); ///< after rejected requests, which the platform charges for
     /// After failures without a response. Such a request did not arrive and is not charged for, so a short delay costs nothing.
     base::Duration maximumUnansweredBackoff = std::chrono::milliseconds(400);
+    base::Duration maximumEraDelay = std::chrono::milliseconds(200); ///< random pause before the complete read of a new era
+    /// From the start of an era until rows that were kept, and have not been written again, become what the store has.
+    base::Duration settleTime = std::chrono::seconds(60);
+    feed::TableCopyOptions copy;
     double backoffJitter = 0.3; ///< fraction; prevents instances from retrying at the same time
 };
 
-/// Options for a bound on the time until a change must be in effect. The coalescing delay uses up to 35% of it; the rest is for
-/// a slow store.
-inline TableWatchOptions watchOptions(base::Duration bound)
+/// Options for the operator's table. What the operator has written, and the store has lost, stays in effect until it is written again.
+/// An evacuation that has returned may have been written again, and is in effect at once.
+inline TableWatchOptions operatorWatchOptions()
+{
+    TableWatchOptions options;
+    options.copy.keepMissing = true;
+    options.copy.keepRemoved = false;
+    options.copy.distinctValues = false;
+    return options;
+}
+
+/// Options for the table of upstreams. `ingress::UpstreamTable` itself keeps upstreams whose entries are missing after an outage.
+/// @param bound on the time until a change must be in effect. The coalescing delay uses up to 35% of it; the rest is for a slow store.
+inline TableWatchOptions upstreamWatchOptions(base::Duration bound)
 {
     TableWatchOptions options;
     options.maximumCoalesceDelay = std::max(options.coalesceDelay, bound * 35 / 100);
+    // A running upstream writes again within 2 s of the return of the store. One that does not run loses its entry some seconds later.
+    options.settleTime = std::chrono::seconds(6);
     return options;
 }
 
@@ -80,6 +100,7 @@
         , m_pollWait(m_random.next(), options.pollWait)
         , m_backoff(options.initialBackoff)
         , m_coalesceDelay(options.coalesceDelay)
+        , m_copy(options.copy)
     {
     }
 
@@ -87,13 +108,13 @@
     boost::asio::awaitable<void> run()
     {
         while (!m_stopped) {
-            const bool completeRead = !m_version;
+            const bool completeRead = !m_position;
             StoreResult result;
             if (completeRead) {
                 result = co_await m_store.readAll(m_table);
             } else {
                 // While the store is unavailable, the poll does not wait for changes, so that a recovery is detected at once.
-                result = co_await m_store.readChanges(m_table, *m_version, m_available ? m_pollWait.next() : base::Duration::zero());
+                result = co_await m_store.readChanges(m_table, *m_position, m_available ? m_pollWait.next() : base::Duration::zero());
             }
             if (m_stopped) {
                 break;
@@ -108,11 +129,22 @@
     /// Applies changes that were received outside the watch's own calls.
     void merge(StoreResult result)
     {
-        if (m_version && result.status == StoreStatus::Ok) {
+        if (m_position && result.status == StoreStatus::Ok) {
             applyRows(std::move(result), false);
         }
     }
 
+    /// Settles the rows of a new era when it is time. Call several times per second.
+    void advance(base::TimePoint now)
+    {
+        if (m_settleAt && now >= *m_settleAt) {
+            m_settleAt.reset();
+            if (const std::exception_ptr fault = reportEach(m_copy.settle())) {
+                std::rethrow_exception(fault);
+            }
+        }
+    }
+
     /// Sets the position of the polls of this watch among those of the failure domain.
     void setPollSlot(feed::PollSlot slot)
     {
@@ -122,6 +154,9 @@
     /// Called after each change of `copy` or of the availability of the store. May be empty.
     std::function<void()> changed;
 
+    /// Called when `copy` has passed from an earlier era to a new one, before its rows are reported. May be empty.
+    std::function<void(feed::Position before, std::size_t changedRows)> eraBegan;
+
     const feed::TableCopy &copy() const
     {
         return m_copy;
@@ -145,8 +180,13 @@
     base::Duration applyResult(StoreResult result, bool completeRead, base::TimePoint now)
     {
         if (result.status == StoreStatus::HistoryLost) {
-            m_version.reset();
-            return {};
+            const bool newEra = m_position && result.position.era > m_position->era;
+            m_position.reset();
+            return newEra ? base::Duration(base::uniformBelow(m_random, static_cast<std::uint64_t>(m_options.maximumEraDelay.count()))) : base::Duration();
+        }
+        if (result.status == StoreStatus::Ok && completeRead && result.position.era < m_copy.position().era) {
+            result.status = StoreStatus::Failed;
+            result.detail = "the response is of an earlier era of the store";
         }
         if (result.status != StoreStatus::Ok) {
             setAvailable(false, result.detail);
@@ -162,7 +202,7 @@
             m_pollWait.aligned();
         }
         setAvailable(result.sourceAvailable, "the instance that is followed does not reach the store");
-        m_version = std::max(m_version.value_or(0), result.version);
+        m_position = std::max(m_position.value_or(feed::Position()), result.position);
         applyRows(std::move(result), completeRead);
         if (!hasChanges || coalesced) {
             return {};
@@ -192,19 +232,20 @@
 
     void applyRows(StoreResult result, bool completeRead)
     {
-        const std::uint64_t before = m_copy.version();
-        std::exception_ptr fault; // one row that cannot be handled must not hide the others
-        for (const StoreRow &row : m_copy.apply(std::move(result.rows), result.version, completeRead)) {
-            try {
-                m_observer.rowChanged(row);
-            } catch (...) {
-                fault = std::current_exception();
+        const feed::Position before = m_copy.position();
+        const bool wasComplete = m_copy.complete();
+        const std::vector<StoreRow> rows = m_copy.apply(std::move(result.rows), result.position, completeRead);
+        if (wasComplete && m_copy.position().era != before.era) {
+            m_settleAt = http::now() + m_options.settleTime;
+            if (eraBegan) {
+                eraBegan(before, rows.size());
             }
         }
+        const std::exception_ptr fault = reportEach(rows);
         if (completeRead) {
             m_observer.tableRead();
         }
-        if (changed && (completeRead || m_copy.version() != before)) {
+        if (changed && (completeRead || m_copy.position() != before)) {
             changed();
         }
         if (fault) {
@@ -212,6 +253,20 @@
         }
     }
 
+    /// Returns the last exception of the observer: one row that cannot be handled must not hide the others.
+    std::exception_ptr reportEach(const std::vector<StoreRow> &rows)
+    {
+        std::exception_ptr fault;
+        for (const StoreRow &row : rows) {
+            try {
+                m_observer.rowChanged(row);
+            } catch (...) {
+                fault = std::current_exception();
+            }
+        }
+        return fault;
+    }
+
     boost::asio::awaitable<void> sleep(base::Duration duration)
     {
         boost::system::error_code ignored; // cancelled by `stop`
@@ -229,7 +284,8 @@
     base::Duration m_backoff;
     base::Duration m_coalesceDelay; ///< most recent pause after changes
     std::optional<base::TimePoint> m_lastChange;
-    std::optional<std::uint64_t> m_version; ///< changes up to this version are known; none: the table must be read completely
+    std::optional<feed::Position> m_position; ///< changes up to this position are known; none: the table must be read completely
+    std::optional<base::TimePoint> m_settleAt; ///< end of the start of an era
     feed::TableCopy m_copy;
     bool m_available = false;
     bool m_stopped = false;
--- a/src/daemon/feed_client_test.cpp
+++ b/src/daemon/feed_client_test.cpp
@@ -44,9 +44,9 @@
     {
         peer::FeedRequest asked;
         asked.table = "servers";
-        asked.after = after;
+        asked.after.version = after;
         client->requestFeed(server.address(), std::move(asked), timeout, [this](std::optional<peer::FeedResponse> response) {
-            versions.push_back(response ? response->version : 0);
+            versions.push_back(response ? response->position.version : 0);
         });
     }
 
@@ -73,7 +73,7 @@
     peer::FeedResponse response;
     response.table = "servers";
     response.status = peer::FeedStatus::Changes;
-    response.version = version;
+    response.position.version = version;
     return response;
 }
 
@@ -91,7 +91,7 @@
     pair.run(100ms);
     BOOST_REQUIRE_EQUAL(pair.received.size(), 2U);
     for (auto &[request, reply] : pair.received) {
-        reply(answer(request.after + 10));
+        reply(answer(request.after.version + 10));
     }
     pair.run(100ms);
     BOOST_TEST((pair.versions == std::vector<std::uint64_t>{11, 12}));
--- a/src/feed/lag_monitor.cpp
+++ b/src/feed/lag_monitor.cpp
@@ -1,23 +1,23 @@
-// Comparison of the known version with the highest one heard of.
+// Comparison of the known position with the highest one heard of.
 
 #include "trefoilstile/feed/lag_monitor.hpp"
 
 namespace trefoilstile::feed
 {
 
-void LagMonitor::heard(std::uint64_t version, const std::string &address, std::uint64_t known, base::TimePoint now)
+void LagMonitor::heard(Position position, const std::string &address, Position known, base::TimePoint now)
 {
-    if (version <= m_highest) {
+    if (position <= m_highest) {
         return;
     }
-    m_highest = version;
+    m_highest = position;
     m_address = address;
     if (m_highest > known && !m_behindSince) {
         m_behindSince = now;
     }
 }
 
-std::optional<std::string> LagMonitor::due(std::uint64_t known, base::TimePoint now)
+std::optional<std::string> LagMonitor::due(Position known, base::TimePoint now)
 {
     if (m_highest <= known) {
         m_behindSince.reset();
--- a/src/feed/poll_wait_test.cpp
+++ b/src/feed/poll_wait_test.cpp
@@ -123,7 +123,7 @@
     void advance(Reader &reader, std::size_t table)
     {
         Poll &poll = reader.polls[table];
-        if (poll.lag.due(poll.knows ? 1 : 0, m_now)) {
+        if (poll.lag.due({1, poll.knows ? 1U : 0U}, m_now)) {
             poll.knows = true;
         }
         if (!poll.pending) {
@@ -179,7 +179,7 @@
             if (&other != &reader && (other.domain == reader.domain || base::uniformBelow(m_random, readersPerDomain(other.domain)) == 0)) {
                 for (std::size_t table = 0; table < s_tables; ++table) {
                     Poll &poll = other.polls[table];
-                    poll.lag.heard(reader.polls[table].knows ? 1 : 0, reader.address, poll.knows ? 1 : 0, m_now);
+                    poll.lag.heard({1, reader.polls[table].knows ? 1U : 0U}, reader.address, {1, poll.knows ? 1U : 0U}, m_now);
                 }
             }
         }
--- a/src/proxy/feed_server.cpp
+++ b/src/proxy/feed_server.cpp
@@ -37,7 +37,7 @@
 const peer::FeedResponse &FeedServer::changesFor(const peer::FeedRequest &request, const feed::TableCopy &copy)
 {
     const auto kept = std::find_if(m_answers.begin(), m_answers.end(), [&](const Answer &answer) {
-        return answer.copyVersion == copy.version() && answer.after == request.after && answer.completeRead == request.completeRead
+        return answer.copyPosition == copy.position() && answer.after == request.after && answer.completeRead == request.completeRead
             && answer.table == request.table;
     });
     if (kept != m_answers.end()) {
@@ -47,12 +47,13 @@
     std::vector<peer::FeedRow> rows;
     rows.reserve(changes.rows.size());
     for (const feed::Row &row : changes.rows) {
-        rows.push_back({row.key, row.value, row.version, row.removed});
+        const auto era = row.position.era == changes.position.era ? std::nullopt : std::optional(row.position.era);
+        rows.push_back({row.key, row.value, row.position.version, row.removed, era});
     }
-    Answer answer{request.table, request.after, request.completeRead, copy.version(), {}};
+    Answer answer{request.table, request.after, request.completeRead, copy.position(), {}};
     answer.response.table = request.table;
     answer.response.status = changes.historyLost ? peer::FeedStatus::HistoryLost : peer::FeedStatus::Changes;
-    answer.response.version = changes.version;
+    answer.response.position = changes.position;
     answer.response.more = changes.more;
     answer.response.rows = peer::encodeFeedRows(rows);
     m_answers.push_front(std::move(answer));
--- a/src/proxy/feed_server_test.cpp
+++ b/src/proxy/feed_server_test.cpp
@@ -25,7 +25,7 @@
 struct ServerFixture {
     ServerFixture()
     {
-        copy.apply({{"a", "1", 3, false}, {"b", "1", 4, false}}, 5, true);
+        copy.apply({{"a", "1", {1, 3}, false}, {"b", "1", {1, 4}, false}}, {1, 5}, true);
         server.addTable("servers",
             {copy,
                 [this] {
@@ -36,9 +36,9 @@
                 }});
     }
 
-    void ask(std::uint64_t after, base::Duration wait, bool believesAvailable = true)
+    void ask(std::uint64_t version, base::Duration wait, bool believesAvailable = true)
     {
-        peer::FeedRequest request{"servers", after, false, wait, believesAvailable};
+        peer::FeedRequest request{"servers", {1, version}, false, wait, believesAvailable};
         server.handle(
             request,
             [this](peer::FeedResponse response) {
@@ -65,11 +65,11 @@
     fixture.ask(5, 600ms);
     fixture.server.tableChanged("servers");
     BOOST_TEST(fixture.responses.empty());
-    fixture.copy.apply({{"a", "2", 8, false}}, 8, false);
+    fixture.copy.apply({{"a", "2", {1, 8}, false}}, {1, 8}, false);
     fixture.server.tableChanged("servers");
     BOOST_REQUIRE(fixture.responses.size() == 1U);
     BOOST_TEST(rowsOf(fixture.responses[0]) == 1U);
-    BOOST_TEST(fixture.responses[0].version == 8U);
+    BOOST_TEST(fixture.responses[0].position == feed::Position(1, 8));
     fixture.server.advance(s_start + 10s);
     BOOST_TEST(fixture.responses.size() == 1U);
 }
@@ -127,7 +127,7 @@
     BOOST_REQUIRE(fixture.responses.size() == 1U);
     BOOST_TEST((fixture.responses[0].status == peer::FeedStatus::NotReady));
     fixture.server.handle(
-        {"other", 0, false, 0ms, true},
+        {"other", {}, false, 0ms, true},
         [&fixture](peer::FeedResponse response) {
             fixture.responses.push_back(std::move(response));
         },
@@ -153,7 +153,7 @@
     int refused = 0;
     for (int i = 0; i < 5; ++i) {
         server.handle(
-            {"servers", 5, false, 1h, true},
+            {"servers", {1, 5}, false, 1h, true},
             [&refused](const peer::FeedResponse &response) {
                 refused += response.status == peer::FeedStatus::NotReader ? 1 : 0;
             },
@@ -174,7 +174,7 @@
     BOOST_TEST(rowsOf(fixture.responses[1]) == 2U);
     fixture.ask(3, 0ms);
     BOOST_TEST(rowsOf(fixture.responses[2]) == 1U);
-    fixture.copy.apply({{"c", "1", 7, false}}, 7, false);
+    fixture.copy.apply({{"c", "1", {1, 7}, false}}, {1, 7}, false);
     fixture.ask(0, 0ms);
     BOOST_TEST(rowsOf(fixture.responses[3]) == 3U);
     fixture.storeAvailable = false;
@@ -187,6 +187,32 @@
     BOOST_TEST(rowsOf(fixture.responses.back()) == 3U);
 }
 
+// Guards against followers that take rows which are kept from an earlier era for rows of the new one, and against a wait for the next change
+// after the store has begun a new era.
+BOOST_AUTO_TEST_CASE(newEraIsNewsAndRowsNameTheirOwn)
+{
+    ServerFixture fixture;
+    feed::TableCopyOptions options;
+    options.keepMissing = true;
+    fixture.copy = feed::TableCopy(options);
+    fixture.copy.apply({{"a", "1", {1, 3}, false}, {"b", "1", {1, 4}, false}}, {1, 5}, true);
+    fixture.ask(5, 600ms);
+    fixture.copy.apply({{"a", "1", {2, 3}, false}}, {2, 3}, true); // "b" has been lost by the store
+    fixture.server.tableChanged("servers");
+    BOOST_REQUIRE(fixture.responses.size() == 1U);
+    BOOST_TEST(fixture.responses[0].position == feed::Position(2, 3));
+    fixture.server.handle(
+        {"servers", {}, true, 0ms, true},
+        [&fixture](peer::FeedResponse response) {
+            fixture.responses.push_back(std::move(response));
+        },
+        s_start);
+    const auto rows = peer::decodeFeedRows(fixture.responses[1].rows).value();
+    BOOST_REQUIRE(rows.size() == 2U);
+    BOOST_TEST((rows[0].key == "b" && rows[0].era == 1U));
+    BOOST_TEST((rows[1].key == "a" && !rows[1].era.has_value()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
--- a/src/proxy/fleet_join_test.cpp
+++ b/src/proxy/fleet_join_test.cpp
@@ -35,19 +35,19 @@
         }
         result.status = StoreStatus::Ok;
         if (table == "trefoilstile-keys") {
-            result.rows.push_back({.key = "peer-key", .value = "secret"});
+            result.rows.push_back({"peer-key", "secret", {}, false});
         } else {
-            result.rows.push_back({.key = "other", .value = Registration{"127.0.0.1:7", "east"}.text()});
+            result.rows.push_back({"other", Registration{"127.0.0.1:7", "east"}.text(), {}, false});
         }
         co_return result;
     }
 
-    boost::asio::awaitable<StoreResult> readChanges(std::string, std::uint64_t, base::Duration)
+    boost::asio::awaitable<StoreResult> readChanges(std::string, feed::Position, base::Duration)
     {
         co_return StoreResult{};
     }
 
-    boost::asio::awaitable<StoreResult> writeIf(std::string, std::string, std::string, std::uint64_t)
+    boost::asio::awaitable<StoreResult> create(std::string, std::vector<NewRow>)
     {
         co_return StoreResult{};
     }
--- a/src/proxy/member_link.cpp
+++ b/src/proxy/member_link.cpp
@@ -49,8 +49,8 @@
         result.loads.push_back({load.upstream, load.busy, load.slots, load.age, load.speedPercent});
     }
     result.leavingRuns = report.leavingRuns;
-    for (const peer::TableVersion &table : report.tables) {
-        result.tables.push_back({table.table, table.version});
+    for (const peer::TablePosition &table : report.tables) {
+        result.tables.push_back({table.table, table.position});
     }
     result.peerAddress = report.peerAddress;
     for (const peer::ConnectionLoadLimit &limit : report.connectionLimits) {
