Tell the era of the store in the messages between instances

Change: these messages have an optional era. It takes two bytes in each request and answer of the feed, and two for each of the two tables in a report, for eras below 64; a row has one of its own only if it was kept from an earlier era. A peer that sends none is in era 0, below all.

Why it works: a follower asks for what comes after its pair, and gets all rows of the new era with the reader's next answer.

--- a/src/peer/datagram_size_test.cpp
+++ b/src/peer/datagram_size_test.cpp
@@ -95,7 +95,7 @@
     for (std::uint64_t i = 0; i < 25; ++i) {
         report.leavingRuns.push_back(base::mixBits(~i));
     }
-    report.tables = {{"upstream_entries", {0, 1ULL << 40U}}, {"operator_entries", {0, 1ULL << 40U}}};
+    report.tables = {{"upstream_entries", {1ULL << 20U, 1ULL << 40U}}, {"operator_entries", {1ULL << 20U, 1ULL << 40U}}};
     report.peerAddress = "[2001:db8:1111:2222:3333:4444:5555:6666]:65535";
     report.connectionLimits = {{base::mixBits(100), 300}, {base::mixBits(101), 300}};
     peer::EnvelopeCodec codec({"a key of the trial environment", "entry", "entry-instance-of-the-domain-999", {~0ULL}});
--- a/src/peer/feed_rows.cpp
+++ b/src/peer/feed_rows.cpp
@@ -31,6 +31,9 @@
         entry.value = row.value;
         entry.version = bitsToWire(row.version);
         entry.removed = row.removed;
+        if (row.era) {
+            entry.__set_era(bitsToWire(*row.era));
+        }
         list.rows.push_back(std::move(entry));
     }
     std::string bytes = toCompact(list);
@@ -51,7 +54,11 @@
         decoded.reserve(list.rows.size());
         for (const wire::FeedRow &row : list.rows) {
             // The size of the frame limits keys and values.
-            decoded.push_back({row.key, row.value, checkedNumber<std::uint64_t>(row.version), row.removed});
+            decoded.push_back({row.key,
+                row.value,
+                checkedNumber<std::uint64_t>(row.version),
+                row.removed,
+                row.__isset.era ? std::optional(checkedNumber<std::uint64_t>(row.era)) : std::nullopt});
         }
     } catch (const MalformedBytes &) {
         return std::nullopt;
--- a/src/peer/feed_rows_test.cpp
+++ b/src/peer/feed_rows_test.cpp
@@ -16,6 +16,9 @@
         std::vector<FeedRow> rows;
         for (std::size_t i = 0; i < count; ++i) {
             rows.push_back({"key-" + std::to_string(i), i % 7 == 0 ? "" : "{\"service\":\"ledger\",\"slots\":" + std::to_string(i) + "}", i + 1, i % 7 == 0});
+            if (i % 5 == 0) {
+                rows.back().era = i;
+            }
         }
         const FeedRows encoded = encodeFeedRows(rows);
         const auto decoded = decodeFeedRows(encoded);
--- a/src/peer/gen/trefoilstile_types.cpp
+++ b/src/peer/gen/trefoilstile_types.cpp
@@ -4041,6 +4041,11 @@
 void TableVersion::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void TableVersion::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const TableVersion& obj)
 {
   obj.printTo(out);
@@ -4085,6 +4090,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4110,6 +4123,11 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4119,17 +4137,20 @@
   using ::std::swap;
   swap(a.table, b.table);
   swap(a.version, b.version);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
 TableVersion::TableVersion(const TableVersion& other76) {
   table = other76.table;
   version = other76.version;
+  era = other76.era;
   __isset = other76.__isset;
 }
 TableVersion& TableVersion::operator=(const TableVersion& other77) {
   table = other77.table;
   version = other77.version;
+  era = other77.era;
   __isset = other77.__isset;
   return *this;
 }
@@ -4138,6 +4159,7 @@
   out << "TableVersion(";
   out << "table=" << to_string(table);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4531,6 +4553,11 @@
 void FeedRequest::__set_storeAvailable(const bool val) {
   this->storeAvailable = val;
 }
+
+void FeedRequest::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const FeedRequest& obj)
 {
   obj.printTo(out);
@@ -4599,6 +4626,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4636,6 +4671,11 @@
   xfer += oprot->writeBool(this->storeAvailable);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4648,6 +4688,7 @@
   swap(a.completeRead, b.completeRead);
   swap(a.waitMs, b.waitMs);
   swap(a.storeAvailable, b.storeAvailable);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4657,6 +4698,7 @@
   completeRead = other106.completeRead;
   waitMs = other106.waitMs;
   storeAvailable = other106.storeAvailable;
+  era = other106.era;
   __isset = other106.__isset;
 }
 FeedRequest& FeedRequest::operator=(const FeedRequest& other107) {
@@ -4665,6 +4707,7 @@
   completeRead = other107.completeRead;
   waitMs = other107.waitMs;
   storeAvailable = other107.storeAvailable;
+  era = other107.era;
   __isset = other107.__isset;
   return *this;
 }
@@ -4676,6 +4719,7 @@
   out << ", " << "completeRead=" << to_string(completeRead);
   out << ", " << "waitMs=" << to_string(waitMs);
   out << ", " << "storeAvailable=" << to_string(storeAvailable);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4699,6 +4743,11 @@
 void FeedRow::__set_removed(const bool val) {
   this->removed = val;
 }
+
+void FeedRow::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const FeedRow& obj)
 {
   obj.printTo(out);
@@ -4759,6 +4808,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4792,6 +4849,11 @@
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4803,6 +4865,7 @@
   swap(a.value, b.value);
   swap(a.version, b.version);
   swap(a.removed, b.removed);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4811,6 +4874,7 @@
   value = other108.value;
   version = other108.version;
   removed = other108.removed;
+  era = other108.era;
   __isset = other108.__isset;
 }
 FeedRow& FeedRow::operator=(const FeedRow& other109) {
@@ -4818,6 +4882,7 @@
   value = other109.value;
   version = other109.version;
   removed = other109.removed;
+  era = other109.era;
   __isset = other109.__isset;
   return *this;
 }
@@ -4828,6 +4893,7 @@
   out << ", " << "value=" << to_string(value);
   out << ", " << "version=" << to_string(version);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4863,6 +4929,11 @@
 void FeedResponse::__set_rowsBytes(const int32_t val) {
   this->rowsBytes = val;
 }
+
+void FeedResponse::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const FeedResponse& obj)
 {
   obj.printTo(out);
@@ -4947,6 +5018,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4992,6 +5071,11 @@
   xfer += oprot->writeI32(this->rowsBytes);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5006,6 +5090,7 @@
   swap(a.storeAvailable, b.storeAvailable);
   swap(a.rows, b.rows);
   swap(a.rowsBytes, b.rowsBytes);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -5017,6 +5102,7 @@
   storeAvailable = other110.storeAvailable;
   rows = other110.rows;
   rowsBytes = other110.rowsBytes;
+  era = other110.era;
   __isset = other110.__isset;
 }
 FeedResponse& FeedResponse::operator=(const FeedResponse& other111) {
@@ -5027,6 +5113,7 @@
   storeAvailable = other111.storeAvailable;
   rows = other111.rows;
   rowsBytes = other111.rowsBytes;
+  era = other111.era;
   __isset = other111.__isset;
   return *this;
 }
@@ -5040,6 +5127,7 @@
   out << ", " << "storeAvailable=" << to_string(storeAvailable);
   out << ", " << "rows=" << to_string(rows);
   out << ", " << "rowsBytes=" << to_string(rowsBytes);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5227,14 +5315,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slots.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->slots.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->slots.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += iprot->readI32(this->slots[_i116]);
+              xfer += iprot->readI32(this->slots[_i124]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5287,10 +5375,10 @@
   xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->slots.size()));
-    std::vector<int32_t> ::const_iterator _iter117;
-    for (_iter117 = this->slots.begin(); _iter117 != this->slots.end(); ++_iter117)
+    std::vector<int32_t> ::const_iterator _iter125;
+    for (_iter125 = this->slots.begin(); _iter125 != this->slots.end(); ++_iter125)
     {
-      xfer += oprot->writeI32((*_iter117));
+      xfer += oprot->writeI32((*_iter125));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5319,21 +5407,21 @@
   swap(a.__isset, b.__isset);
 }
 
-AccountUsage::AccountUsage(const AccountUsage& other118) {
-  account = other118.account;
-  demand = other118.demand;
-  slots = other118.slots;
-  reserved = other118.reserved;
-  shareMillionths = other118.shareMillionths;
-  __isset = other118.__isset;
+AccountUsage::AccountUsage(const AccountUsage& other126) {
+  account = other126.account;
+  demand = other126.demand;
+  slots = other126.slots;
+  reserved = other126.reserved;
+  shareMillionths = other126.shareMillionths;
+  __isset = other126.__isset;
 }
-AccountUsage& AccountUsage::operator=(const AccountUsage& other119) {
-  account = other119.account;
-  demand = other119.demand;
-  slots = other119.slots;
-  reserved = other119.reserved;
-  shareMillionths = other119.shareMillionths;
-  __isset = other119.__isset;
+AccountUsage& AccountUsage::operator=(const AccountUsage& other127) {
+  account = other127.account;
+  demand = other127.demand;
+  slots = other127.slots;
+  reserved = other127.reserved;
+  shareMillionths = other127.shareMillionths;
+  __isset = other127.__isset;
   return *this;
 }
 void AccountUsage::printTo(std::ostream& out) const {
@@ -5471,14 +5559,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usages.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->usages.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->usages.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->usages[_i124].read(iprot);
+              xfer += this->usages[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5535,10 +5623,10 @@
   xfer += oprot->writeFieldBegin("usages", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usages.size()));
-    std::vector<AccountUsage> ::const_iterator _iter125;
-    for (_iter125 = this->usages.begin(); _iter125 != this->usages.end(); ++_iter125)
+    std::vector<AccountUsage> ::const_iterator _iter133;
+    for (_iter133 = this->usages.begin(); _iter133 != this->usages.end(); ++_iter133)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5562,27 +5650,27 @@
   swap(a.__isset, b.__isset);
 }
 
-UsageMessage::UsageMessage(const UsageMessage& other126) {
-  kind = other126.kind;
-  sender = other126.sender;
-  failureDomain = other126.failureDomain;
-  peerAddress = other126.peerAddress;
-  incarnation = other126.incarnation;
-  number = other126.number;
-  replyWanted = other126.replyWanted;
-  usages = other126.usages;
-  __isset = other126.__isset;
-}
-UsageMessage& UsageMessage::operator=(const UsageMessage& other127) {
-  kind = other127.kind;
-  sender = other127.sender;
-  failureDomain = other127.failureDomain;
-  peerAddress = other127.peerAddress;
-  incarnation = other127.incarnation;
-  number = other127.number;
-  replyWanted = other127.replyWanted;
-  usages = other127.usages;
-  __isset = other127.__isset;
+UsageMessage::UsageMessage(const UsageMessage& other134) {
+  kind = other134.kind;
+  sender = other134.sender;
+  failureDomain = other134.failureDomain;
+  peerAddress = other134.peerAddress;
+  incarnation = other134.incarnation;
+  number = other134.number;
+  replyWanted = other134.replyWanted;
+  usages = other134.usages;
+  __isset = other134.__isset;
+}
+UsageMessage& UsageMessage::operator=(const UsageMessage& other135) {
+  kind = other135.kind;
+  sender = other135.sender;
+  failureDomain = other135.failureDomain;
+  peerAddress = other135.peerAddress;
+  incarnation = other135.incarnation;
+  number = other135.number;
+  replyWanted = other135.replyWanted;
+  usages = other135.usages;
+  __isset = other135.__isset;
   return *this;
 }
 void UsageMessage::printTo(std::ostream& out) const {
--- a/src/peer/gen/trefoilstile_types.h
+++ b/src/peer/gen/trefoilstile_types.h
@@ -1737,9 +1737,10 @@
 std::ostream& operator<<(std::ostream& out, const UpstreamLoad& obj);
 
 typedef struct _TableVersion__isset {
-  _TableVersion__isset() : table(false), version(false) {}
+  _TableVersion__isset() : table(false), version(false), era(false) {}
   bool table :1;
   bool version :1;
+  bool era :1;
 } _TableVersion__isset;
 
 class TableVersion : public virtual ::apache::thrift::TBase {
@@ -1749,12 +1750,14 @@
   TableVersion& operator=(const TableVersion&);
   TableVersion() noexcept
                : table(),
-                 version(0) {
+                 version(0),
+                 era(0) {
   }
 
   virtual ~TableVersion() noexcept;
   std::string table;
   int64_t version;
+  int64_t era;
 
   _TableVersion__isset __isset;
 
@@ -1762,12 +1765,18 @@
 
   void __set_version(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const TableVersion & rhs) const
   {
     if (!(table == rhs.table))
       return false;
     if (!(version == rhs.version))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const TableVersion &rhs) const {
@@ -1906,12 +1915,13 @@
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
 
 typedef struct _FeedRequest__isset {
-  _FeedRequest__isset() : table(false), after(false), completeRead(false), waitMs(false), storeAvailable(false) {}
+  _FeedRequest__isset() : table(false), after(false), completeRead(false), waitMs(false), storeAvailable(false), era(false) {}
   bool table :1;
   bool after :1;
   bool completeRead :1;
   bool waitMs :1;
   bool storeAvailable :1;
+  bool era :1;
 } _FeedRequest__isset;
 
 class FeedRequest : public virtual ::apache::thrift::TBase {
@@ -1924,7 +1934,8 @@
                 after(0),
                 completeRead(0),
                 waitMs(0),
-                storeAvailable(0) {
+                storeAvailable(0),
+                era(0) {
   }
 
   virtual ~FeedRequest() noexcept;
@@ -1933,6 +1944,7 @@
   bool completeRead;
   int64_t waitMs;
   bool storeAvailable;
+  int64_t era;
 
   _FeedRequest__isset __isset;
 
@@ -1946,6 +1958,8 @@
 
   void __set_storeAvailable(const bool val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const FeedRequest & rhs) const
   {
     if (!(table == rhs.table))
@@ -1958,6 +1972,10 @@
       return false;
     if (!(storeAvailable == rhs.storeAvailable))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const FeedRequest &rhs) const {
@@ -1977,11 +1995,12 @@
 std::ostream& operator<<(std::ostream& out, const FeedRequest& obj);
 
 typedef struct _FeedRow__isset {
-  _FeedRow__isset() : key(false), value(false), version(false), removed(false) {}
+  _FeedRow__isset() : key(false), value(false), version(false), removed(false), era(false) {}
   bool key :1;
   bool value :1;
   bool version :1;
   bool removed :1;
+  bool era :1;
 } _FeedRow__isset;
 
 class FeedRow : public virtual ::apache::thrift::TBase {
@@ -1993,7 +2012,8 @@
           : key(),
             value(),
             version(0),
-            removed(0) {
+            removed(0),
+            era(0) {
   }
 
   virtual ~FeedRow() noexcept;
@@ -2001,6 +2021,7 @@
   std::string value;
   int64_t version;
   bool removed;
+  int64_t era;
 
   _FeedRow__isset __isset;
 
@@ -2012,6 +2033,8 @@
 
   void __set_removed(const bool val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const FeedRow & rhs) const
   {
     if (!(key == rhs.key))
@@ -2022,6 +2045,10 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const FeedRow &rhs) const {
@@ -2041,7 +2068,7 @@
 std::ostream& operator<<(std::ostream& out, const FeedRow& obj);
 
 typedef struct _FeedResponse__isset {
-  _FeedResponse__isset() : status(false), table(false), version(false), more(false), storeAvailable(false), rows(false), rowsBytes(false) {}
+  _FeedResponse__isset() : status(false), table(false), version(false), more(false), storeAvailable(false), rows(false), rowsBytes(false), era(false) {}
   bool status :1;
   bool table :1;
   bool version :1;
@@ -2049,6 +2076,7 @@
   bool storeAvailable :1;
   bool rows :1;
   bool rowsBytes :1;
+  bool era :1;
 } _FeedResponse__isset;
 
 class FeedResponse : public virtual ::apache::thrift::TBase {
@@ -2063,7 +2091,8 @@
                  more(0),
                  storeAvailable(0),
                  rows(),
-                 rowsBytes(0) {
+                 rowsBytes(0),
+                 era(0) {
   }
 
   virtual ~FeedResponse() noexcept;
@@ -2074,6 +2103,7 @@
   bool storeAvailable;
   std::string rows;
   int32_t rowsBytes;
+  int64_t era;
 
   _FeedResponse__isset __isset;
 
@@ -2091,6 +2121,8 @@
 
   void __set_rowsBytes(const int32_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const FeedResponse & rhs) const
   {
     if (!(status == rhs.status))
@@ -2107,6 +2139,10 @@
       return false;
     if (!(rowsBytes == rhs.rowsBytes))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const FeedResponse &rhs) const {
--- a/src/peer/payload_codec_test.cpp
+++ b/src/peer/payload_codec_test.cpp
@@ -88,4 +88,17 @@
     BOOST_TEST(!decodes(kindOf(HandoffPart{}), encodePayload(HandoffPart{{1}, {1, 2, 2, 0, ""}})));
 }
 
+// Guards against peers without eras that cannot read positions, and against an era that costs more than two bytes in each position.
+BOOST_AUTO_TEST_CASE(eraIsAnOptionalFieldOfTwoBytes)
+{
+    const auto request = [](std::uint64_t era) {
+        return FeedRequest{"servers", {era, 900}, false, {}, true};
+    };
+    const std::string without = encodePayload(request(0));
+    BOOST_TEST(encodePayload(request(7)).size() == without.size() + 2);
+    const Payload decoded = decodePayload(kindOf(request(0)), without);
+    BOOST_TEST((std::get<FeedRequest>(decoded) == request(0)));
+    BOOST_TEST((std::get<FeedRequest>(decodePayload(kindOf(request(7)), encodePayload(request(7)))).after == feed::Position{7, 900}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/peer/translate.hpp
+++ b/src/peer/translate.hpp
@@ -57,6 +57,23 @@
     return static_cast<std::uint64_t>(value);
 }
 
+/// Writes a position into a struct with an optional field `era`, which stays absent for era 0.
+/// @param version field of the struct for the version
+template<typename Struct>
+void setPosition(Struct &out, std::int64_t &version, feed::Position position)
+{
+    version = bitsToWire(position.version);
+    if (position.era != 0) {
+        out.__set_era(bitsToWire(position.era));
+    }
+}
+
+template<typename Struct>
+feed::Position positionFromWire(const Struct &value, std::int64_t version)
+{
+    return {value.__isset.era ? checkedNumber<std::uint64_t>(value.era) : 0, checkedNumber<std::uint64_t>(version)};
+}
+
 template<typename Tag>
 std::int64_t bitsToWire(base::Id<Tag> id)
 {
--- a/src/peer/translate_transfers.cpp
+++ b/src/peer/translate_transfers.cpp
@@ -234,7 +234,7 @@
     for (const TablePosition &table : value.tables) {
         wire::TableVersion entry;
         entry.table = table.table;
-        entry.version = bitsToWire(table.position.version);
+        setPosition(entry, entry.version, table.position);
         out.tables.push_back(entry);
     }
     out.peerAddress = value.peerAddress;
@@ -262,7 +262,7 @@
         out.leavingRuns.push_back(bitsFromWire(run));
     }
     for (const wire::TableVersion &table : value.tables) {
-        out.tables.push_back({checkedText(table.table), feed::Position(0, checkedNumber<std::uint64_t>(table.version))});
+        out.tables.push_back({checkedText(table.table), positionFromWire(table, table.version)});
     }
     out.peerAddress = checkedText(value.peerAddress);
     for (const wire::ConnectionLoadLimit &limit : value.connectionLimits) {
@@ -275,7 +275,7 @@
 {
     wire::FeedRequest out;
     out.table = value.table;
-    out.after = bitsToWire(value.after.version);
+    setPosition(out, out.after, value.after);
     out.completeRead = value.completeRead;
     out.waitMs = millisecondsToWire(value.wait);
     out.storeAvailable = value.storeAvailable;
@@ -284,7 +284,7 @@
 
 FeedRequest fromWire(const wire::FeedRequest &value)
 {
-    return {checkedText(value.table), {0, checkedNumber<std::uint64_t>(value.after)}, value.completeRead, durationFromWire(value.waitMs), value.storeAvailable};
+    return {checkedText(value.table), positionFromWire(value, value.after), value.completeRead, durationFromWire(value.waitMs), value.storeAvailable};
 }
 
 wire::FeedResponse toWire(const FeedResponse &value)
@@ -292,7 +292,7 @@
     wire::FeedResponse out;
     out.status = static_cast<std::int32_t>(value.status);
     out.table = value.table;
-    out.version = bitsToWire(value.position.version);
+    setPosition(out, out.version, value.position);
     out.more = value.more;
     out.storeAvailable = value.storeAvailable;
     out.rows = value.rows.bytes;
@@ -305,7 +305,7 @@
     FeedResponse out;
     out.status = checkedEnum(value.status, FeedStatus::NotReady);
     out.table = checkedText(value.table);
-    out.position = {0, checkedNumber<std::uint64_t>(value.version)};
+    out.position = positionFromWire(value, value.version);
     out.more = value.more;
     out.storeAvailable = value.storeAvailable;
     out.rows = {value.rows, value.rowsBytes};
--- a/src/peer/trefoilstile.thrift
+++ b/src/peer/trefoilstile.thrift
@@ -183,9 +183,11 @@
   5: optional i32 speedPercent
 }
 
+// Eras are absent where the sender knows none.
 struct TableVersion {
   1: string table
   2: i64 version
+  3: optional i64 era
 }
 
 struct ConnectionLoadLimit {
@@ -207,13 +209,16 @@
   3: bool completeRead
   4: i64 waitMs
   5: bool storeAvailable
+  6: optional i64 era
 }
 
+// The era is absent if it is that of the response.
 struct FeedRow {
   1: string key
   2: binary value
   3: i64 version
   4: bool removed
+  5: optional i64 era
 }
 
 struct FeedResponse {
@@ -224,6 +229,7 @@
   5: bool storeAvailable
   6: binary rows
   7: i32 rowsBytes
+  8: optional i64 era
 }
 
 // Content of FeedResponse.rows: compressed with zlib if rowsBytes, its size before, is not 0.
