Write key and register again after a drill of the store

Cause: the key of the messages between instances and their register were written once, at the first start. The instance that started found no key and made another one, so that it and the others dropped each other's messages.

Rows are only written if they do not exist. Without a drill no call is added. An instance that starts while the key is missing waits 3 s for it, except at the first start of the system. One that has joined within a minute, not at the first start, and knows few of the registered instances, reads the key again and takes over another one.

--- a/include/trefoilstile/daemon/peer_network.hpp
+++ b/include/trefoilstile/daemon/peer_network.hpp
@@ -81,6 +81,12 @@
 
     const peer::EnvelopeCodec &codec() const;
 
+    /// Uses another key for messages from now on. Throws `peer::CodecError` if it is too short.
+    void setKey(std::string key)
+    {
+        m_codec.setKey(std::move(key));
+    }
+
 private:
     struct Transfer {
         peer::PartAssembler assembler;
--- a/include/trefoilstile/peer/envelope_codec.hpp
+++ b/include/trefoilstile/peer/envelope_codec.hpp
@@ -83,6 +83,10 @@
     /// @throws CodecError if the key is too short or the environment or name is too long
     explicit EnvelopeCodec(CodecSettings settings);
 
+    /// Uses another key from now on.
+    /// @throws CodecError if the key is too short
+    void setKey(std::string key);
+
     /// Encodes the payload in an envelope with the next sequence number of its channel.
     /// @throws CodecError if the envelope exceeds the size limit of the channel
     std::string encode(const Payload &payload);
--- a/include/trefoilstile/proxy/entry_process.hpp
+++ b/include/trefoilstile/proxy/entry_process.hpp
@@ -265,6 +265,7 @@
         const bool known = static_cast<double>(members.size()) >= s_settledShare * static_cast<double>(m_registered.size());
         m_settled = m_settled || known || http::now() >= m_joinedAt + s_settleTime;
         const feed::Readers readers = feed::chooseReaders(m_settled ? members : m_registered, m_core.settings.name);
+        m_readerRank = readers.self ? std::optional(readers.rank) : std::nullopt;
         std::size_t number = 0;
         forEachTable([&](auto &table) {
             table.setReaders(readers, number++, s_tables);
@@ -291,7 +292,8 @@
             if (!m_settled) {
                 updateReaders();
             }
-            m_join.searchWhileAlone(*m_members, now);
+            m_join.searchWhileFew(*m_members, now);
+            m_join.restoreInEra(*m_members, std::max(m_operator.era(), m_upstreams.era()), m_readerRank, now);
             sendReports(now);
             m_quotaLink.tick(*m_members, now);
             forEachTable([now](auto &table) {
@@ -400,6 +402,7 @@
     base::TimePoint m_nextReport;
     std::vector<feed::ReaderCandidate> m_registered; ///< instances of this failure domain in the register at the join
     base::TimePoint m_joinedAt;
+    std::optional<std::size_t> m_readerRank; ///< of this instance among the readers of its failure domain
     bool m_settled = false; ///< the members are known well enough to choose readers from them
 };
 
--- a/include/trefoilstile/proxy/fleet_join.hpp
+++ b/include/trefoilstile/proxy/fleet_join.hpp
@@ -1,11 +1,18 @@
-// Joins this instance to the fleet, and looks for further instances in the register while no other one is known.
+// Joins this instance to the fleet, looks for further instances in the register while few are known, and writes key and register again
+// after the store has lost them.
+//
+// The store may come back from a copy that is older than the key or rows of the register. An instance that starts then must not create
+// another key: it would not understand the others, and both sides would grant the whole of each quota. It waits for the fleet to write
+// the key again. The readers of the store do that, one after the other.
 #pragma once
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -14,6 +21,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/base/random.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/proxy/activity.hpp"
@@ -51,14 +59,15 @@
         });
     }
 
-    /// Adds instances that have registered since the join as seeds while no other member is known. Call periodically after the join.
-    void searchWhileAlone(MemberLink &members, base::TimePoint now)
+    /// Adds instances that have registered since the join as seeds while few members are known, and takes over a key that has been
+    /// replaced. Call periodically after the join.
+    void searchWhileFew(MemberLink &members, base::TimePoint now)
     {
-        if (members.memberCount(now) > 1) {
+        if (!knowsFew(members, now)) {
             m_nextSearch = now + s_searchPause;
             m_searchPause = s_searchPause;
         } else if (now >= m_nextSearch) {
-            m_searchPause = std::min(m_searchPause * 2, s_maximumSearchPause);
+            m_searchPause = std::min(m_searchPause * 2, isRecent(now) ? s_maximumRecentSearchPause : s_maximumSearchPause);
             m_nextSearch = now + base::jittered(m_searchPause, 0.5, m_core.random);
             spawnOnce(
                 m_core,
@@ -70,13 +79,50 @@
         }
     }
 
+    /// Writes key and register again if the store lacks them in a new era. Call periodically after the join.
+    /// @param era of the store, as the tables show it
+    /// @param rank of this instance among the readers of its failure domain; nothing if it is none, then others write
+    void restoreInEra(MemberLink &members, std::uint64_t era, std::optional<std::size_t> rank, base::TimePoint now)
+    {
+        if (!m_joined || era <= m_storedEra || !rank || m_restoring) {
+            return;
+        }
+        if (m_noticedEra != era) {
+            m_noticedEra = era;
+            m_restoreAt = now + s_restorePause * *rank;
+        }
+        if (now < m_restoreAt) {
+            return;
+        }
+        m_restoring = true;
+        m_restoreAt = now + base::jittered(s_joinPause, 0.5, m_core.random); // of the next attempt
+        spawnOnce(
+            m_core,
+            "restore_register",
+            [this, &members]() {
+                return restore(members);
+            },
+            [this] {
+                m_restoring = false;
+            });
+    }
+
 private:
     /// When the whole system starts for the first time, all instances register within a second, and no caller waits for them.
     static constexpr base::Duration s_firstStartPause = std::chrono::seconds(1);
     static constexpr base::Duration s_joinPause = std::chrono::milliseconds(500);
-    /// Pause between two searches of the register by an instance that knows no other, the shortest and the longest.
+    /// How long an instance waits for the fleet to write a missing key again. The first reader of a failure domain has written within
+    /// 2 s of the return of the store, another one 0.7 s later.
+    static constexpr base::Duration s_keyPatience = std::chrono::seconds(3);
+    static constexpr base::Duration s_restorePause = std::chrono::milliseconds(700); ///< between two readers; above the time of the calls of one
+    /// Share of the registered instances. An instance that has joined recently and knows fewer may have another key than the fleet;
+    /// later, rows of instances that are gone are the usual reason.
+    static constexpr double s_fewShare = 0.6;
+    static constexpr base::Duration s_recentTime = std::chrono::minutes(1);
+    /// Pause between two searches of the register by an instance that knows few others, the shortest and the longest.
     static constexpr base::Duration s_searchPause = std::chrono::seconds(3);
     static constexpr base::Duration s_maximumSearchPause = std::chrono::minutes(1);
+    static constexpr base::Duration s_maximumRecentSearchPause = std::chrono::seconds(6); ///< while two parts of a fleet may have to find each other
 
     boost::asio::awaitable<void> run()
     {
@@ -85,6 +131,9 @@
             if (fleet) {
                 m_handler(*fleet);
                 m_joined = true;
+                m_key = fleet->peerKey;
+                m_registeredCount = fleet->registered.size();
+                m_joinedAt = http::now();
                 m_nextSearch = http::now() + s_searchPause;
             } else {
                 co_await sleep(base::jittered(s_joinPause, 0.5, m_core.random));
@@ -95,10 +144,15 @@
     /// Nothing if the store does not answer.
     boost::asio::awaitable<std::optional<JoinedFleet>> tryJoin()
     {
-        std::optional<std::string> key = co_await m_register.readKey();
-        if (!key) {
+        std::optional<StoredKey> stored = co_await m_register.readKey();
+        if (stored && stored->key.empty() && mayCreateKey(http::now())) {
+            co_await m_register.createKey(newKey()); // fails if another instance has created the key meanwhile
+            stored = co_await m_register.readKey();
+        }
+        if (!stored || stored->key.empty()) {
             co_return std::nullopt;
         }
+        m_storedEra = stored->era;
         std::optional<std::vector<RegisteredInstance>> registered;
         if (m_core.settings.firstStart) {
             const bool written = co_await m_register.write();
@@ -113,17 +167,124 @@
         if (!registered) {
             co_return std::nullopt;
         }
-        co_return JoinedFleet{std::move(*key), std::move(*registered)};
+        co_return JoinedFleet{std::move(stored->key), std::move(*registered)};
+    }
+
+    std::string newKey()
+    {
+        return base::toHex({m_core.random.next()}) + base::toHex({m_core.random.next()});
+    }
+
+    /// True at the first start of the whole system, and when the fleet has had the time to write a missing key again.
+    bool mayCreateKey(base::TimePoint now)
+    {
+        if (!m_keyMissingSince) {
+            m_keyMissingSince = now;
+            LogLine line("key_missing");
+            line.flag("first_start", m_core.settings.firstStart);
+            m_core.log.write(line, now, true);
+        }
+        return m_core.settings.firstStart || now >= *m_keyMissingSince + s_keyPatience;
+    }
+
+    bool isRecent(base::TimePoint now) const
+    {
+        return now < m_joinedAt + s_recentTime;
+    }
+
+    bool knowsFew(const MemberLink &members, base::TimePoint now) const
+    {
+        const std::size_t known = members.memberCount(now);
+        // At the first start of the system all instances read the same key.
+        const bool mayDiffer = isRecent(now) && !m_core.settings.firstStart;
+        return known <= 1 || (mayDiffer && static_cast<double>(known) < s_fewShare * static_cast<double>(m_registeredCount));
     }
 
     boost::asio::awaitable<void> search(MemberLink &members)
     {
         const std::optional<std::vector<RegisteredInstance>> registered = co_await m_register.read();
-        if (registered) {
-            for (const std::string &address : otherAddresses(*registered, m_core.settings.peerAddress)) {
-                members.addSeed(address);
+        if (!registered) {
+            co_return;
+        }
+        m_registeredCount = registered->size();
+        for (const std::string &address : otherAddresses(*registered, m_core.settings.peerAddress)) {
+            members.addSeed(address);
+        }
+        const std::optional<StoredKey> stored = co_await m_register.readKey();
+        if (stored && !stored->key.empty()) {
+            takeOverKey(members, stored->key);
+        }
+    }
+
+    void takeOverKey(MemberLink &members, const std::string &key)
+    {
+        if (key == m_key) {
+            return;
+        }
+        members.setKey(key);
+        m_key = key;
+        LogLine line("key_taken_over");
+        line.number("members", static_cast<std::int64_t>(members.memberCount(http::now())));
+        m_core.log.write(line, http::now(), true);
+    }
+
+    /// One attempt; `m_storedEra` shows its success.
+    boost::asio::awaitable<void> restore(MemberLink &members)
+    {
+        const std::optional<StoredKey> stored = co_await m_register.readKey();
+        std::optional<std::vector<RegisteredInstance>> registered;
+        if (stored) {
+            registered = co_await m_register.read();
+        }
+        if (!registered) {
+            m_restoring = false;
+            co_return;
+        }
+        m_registeredCount = std::max(m_registeredCount, registered->size());
+        std::string_view keyState = "kept";
+        bool written = true;
+        if (stored->key.empty()) {
+            keyState = "created";
+            written = co_await m_register.createKey(m_key);
+        } else if (stored->key != m_key && members.memberCount(http::now()) <= 1) {
+            keyState = "taken_over"; // the rest of the fleet uses the other key
+            takeOverKey(members, stored->key);
+        } else if (stored->key != m_key) {
+            keyState = "replaced";
+            written = co_await m_register.replaceKey(m_key);
+        }
+        std::vector<RegisteredInstance> missing = missingFrom(*registered, members);
+        const std::size_t rows = missing.size();
+        if (written && rows > 0) {
+            written = co_await m_register.create(std::move(missing));
+        }
+        LogLine line("register_restored");
+        line.number("era", static_cast<std::int64_t>(stored->era)).text("key", keyState).number("rows", static_cast<std::int64_t>(rows));
+        line.flag("succeeded", written);
+        m_core.log.write(line, http::now(), true);
+        if (written) {
+            m_storedEra = stored->era;
+        }
+        m_restoring = false;
+    }
+
+    /// Members of this failure domain, this instance included, that are not registered.
+    std::vector<RegisteredInstance> missingFrom(const std::vector<RegisteredInstance> &registered, const MemberLink &members) const
+    {
+        std::vector<RegisteredInstance> missing;
+        const auto add = [&](const std::string &name, const std::string &address) {
+            const auto same = [&name](const RegisteredInstance &instance) {
+                return instance.name == name;
+            };
+            if (std::none_of(registered.begin(), registered.end(), same) && std::none_of(missing.begin(), missing.end(), same)) {
+                missing.push_back({name, {address, m_core.settings.failureDomain}});
             }
+        };
+        add(m_core.settings.name, m_core.settings.peerAddress);
+        for (const feed::ReaderCandidate &member : members.readerCandidates()) {
+            add(member.name, member.address);
         }
+        return missing;
     }
 
     boost::asio::awaitable<void> sleep(base::Duration duration)
@@ -138,7 +299,15 @@
     boost::asio::steady_timer m_timer;
     std::function<void(const JoinedFleet &)> m_handler;
     bool m_joined = false;
-    base::TimePoint m_nextSearch; ///< earliest next search of the register while no other member is known
+    base::TimePoint m_joinedAt;
+    std::string m_key; ///< of the messages between the instances
+    std::size_t m_registeredCount{}; ///< rows of the register when it was last read
+    std::optional<base::TimePoint> m_keyMissingSince; ///< first read that found no key
+    std::uint64_t m_storedEra{}; ///< newest era of the store that is known to have key and register
+    std::uint64_t m_noticedEra{};
+    base::TimePoint m_restoreAt; ///< earliest next attempt to write key and register again
+    bool m_restoring = false;
+    base::TimePoint m_nextSearch; ///< earliest next search of the register while few members are known
     base::Duration m_searchPause = s_searchPause;
 };
 
--- a/include/trefoilstile/proxy/fleet_register.hpp
+++ b/include/trefoilstile/proxy/fleet_register.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,7 +14,6 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include "trefoilstile/base/ids.hpp"
 #include "trefoilstile/http/clock.hpp"
 #include "trefoilstile/proxy/entry_core.hpp"
 #include "trefoilstile/proxy/registration.hpp"
@@ -39,6 +39,12 @@
     return addresses;
 }
 
+/// Key of the messages between the instances, as the store has it.
+struct StoredKey {
+    std::string key; ///< empty: there is none
+    std::uint64_t era{}; ///< of the store when it was read
+};
+
 template<RowStore Store>
 class FleetRegister
 {
@@ -49,21 +55,28 @@
     {
     }
 
-    /// Reads the key, or creates it if there is none. Nothing if the store does not answer.
-    boost::asio::awaitable<std::optional<std::string>> readKey()
+    /// Reads the key. Nothing if the store does not answer.
+    boost::asio::awaitable<std::optional<StoredKey>> readKey()
     {
-        StoreResult keys = co_await m_store.readAll(s_keyTable);
-        if (keys.status == StoreStatus::Ok && keys.rows.empty()) {
-            const std::string newKey = base::toHex({m_core.random.next()}) + base::toHex({m_core.random.next()});
-            std::vector<NewRow> rows{{s_keyRow, newKey}};
-            co_await m_store.create(s_keyTable, std::move(rows)); // fails if another instance has created the key meanwhile
-            keys = co_await m_store.readAll(s_keyTable);
-        }
-        if (keys.status != StoreStatus::Ok || keys.rows.empty()) {
+        const StoreResult keys = co_await m_store.readAll(s_keyTable);
+        if (keys.status != StoreStatus::Ok) {
             logFailure("read_key", keys);
             co_return std::nullopt;
         }
-        co_return keys.rows.front().value;
+        co_return StoredKey{keys.rows.empty() ? std::string() : keys.rows.front().value, keys.position.era};
+    }
+
+    /// Creates the key if there is none; false if the store does not confirm it, or another instance has created one meanwhile.
+    boost::asio::awaitable<bool> createKey(std::string key)
+    {
+        std::vector<NewRow> rows{{s_keyRow, std::move(key)}};
+        co_return confirmed("create_key", co_await m_store.create(s_keyTable, std::move(rows)));
+    }
+
+    /// Replaces the key; false if the store does not confirm it.
+    boost::asio::awaitable<bool> replaceKey(std::string key)
+    {
+        co_return confirmed("replace_key", co_await m_store.write(s_keyTable, s_keyRow, std::move(key)));
     }
 
     /// Reads all usable rows. Nothing if the store does not answer.
@@ -91,11 +104,22 @@
     /// Writes the row of this instance; false if the store does not confirm it.
     boost::asio::awaitable<bool> write()
     {
-        const StoreResult written = co_await m_store.write(s_memberTable, m_core.settings.name, own().text());
-        if (written.status != StoreStatus::Ok) {
-            logFailure("write", written);
+        co_return confirmed("write", co_await m_store.write(s_memberTable, m_core.settings.name, own().text()));
+    }
+
+    /// Writes rows that do not exist; false if the store does not confirm all of them, or one of them has been written meanwhile.
+    boost::asio::awaitable<bool> create(std::vector<RegisteredInstance> instances)
+    {
+        for (auto next = instances.begin(); next != instances.end();) {
+            std::vector<NewRow> rows;
+            for (; next != instances.end() && rows.size() < s_maximumNewRows; ++next) {
+                rows.push_back({next->name, next->registration.text()});
+            }
+            if (!confirmed("create", co_await m_store.create(s_memberTable, std::move(rows)))) {
+                co_return false;
+            }
         }
-        co_return written.status == StoreStatus::Ok;
+        co_return true;
     }
 
     /// Registers this instance and reads the others. An instance that starts again is registered already and only reads: the store
@@ -128,6 +152,14 @@
         return {m_core.settings.peerAddress, m_core.settings.failureDomain};
     }
 
+    bool confirmed(std::string_view operation, const StoreResult &result)
+    {
+        if (result.status != StoreStatus::Ok) {
+            logFailure(operation, result);
+        }
+        return result.status == StoreStatus::Ok;
+    }
+
     /// The callers try again later, so a failure is only logged.
     void logFailure(std::string_view operation, const StoreResult &result)
     {
--- a/include/trefoilstile/proxy/member_link.hpp
+++ b/include/trefoilstile/proxy/member_link.hpp
@@ -44,6 +44,12 @@
         m_detector.addSeed(peerAddress);
     }
 
+    /// Uses another key for the messages from now on. Throws `peer::CodecError` if it is too short.
+    void setKey(std::string key)
+    {
+        m_network.setKey(std::move(key));
+    }
+
     /// Announces to the other members that this instance stops.
     void announceLeaving(base::TimePoint now);
 
--- a/src/peer/envelope_codec.cpp
+++ b/src/peer/envelope_codec.cpp
@@ -54,6 +54,13 @@
 }
 
 /// Verifies the MAC. It covers all bytes before the MAC value, so the check does not decode untrusted bytes.
+void checkKey(std::string_view key)
+{
+    if (key.size() < s_minimumKeyBytes) {
+        throw CodecError("the MAC key must have at least 16 bytes");
+    }
+}
+
 bool hasValidMac(std::string_view key, std::string_view bytes)
 {
     const std::string_view covered = bytes.substr(0, bytes.size() - s_tailBytes);
@@ -81,14 +88,18 @@
 EnvelopeCodec::EnvelopeCodec(CodecSettings settings)
     : m_settings(std::move(settings))
 {
-    if (m_settings.key.size() < s_minimumKeyBytes) {
-        throw CodecError("the MAC key must have at least 16 bytes");
-    }
+    checkKey(m_settings.key);
     if (m_settings.environment.size() > s_maximumNameBytes || m_settings.name.size() > s_maximumNameBytes) {
         throw CodecError("environment and name must have at most 64 bytes");
     }
 }
 
+void EnvelopeCodec::setKey(std::string key)
+{
+    checkKey(key);
+    m_settings.key = std::move(key);
+}
+
 std::string EnvelopeCodec::encode(const Payload &payload)
 {
     const Channel channel = channelOf(payload);
--- a/src/proxy/fleet_join_test.cpp
+++ b/src/proxy/fleet_join_test.cpp
@@ -20,9 +20,11 @@
 namespace
 {
 
-/// Fails as often as told, and then has a key and one other registered instance.
+/// Fails as often as told, and then has a key, unless it lacks one, and one other registered instance.
 struct ScriptedStore {
     int failures = 0;
+    std::string key = "secret"; ///< empty: there is none
+    std::vector<std::string> created;
     std::vector<std::string> written;
 
     boost::asio::awaitable<StoreResult> readAll(std::string table)
@@ -35,7 +37,9 @@
         }
         result.status = StoreStatus::Ok;
         if (table == "trefoilstile-keys") {
-            result.rows.push_back({"peer-key", "secret", {}, false});
+            if (!key.empty()) {
+                result.rows.push_back({"peer-key", key, {}, false});
+            }
         } else {
             result.rows.push_back({"other", Registration{"127.0.0.1:7", "east"}.text(), {}, false});
         }
@@ -47,14 +51,20 @@
         co_return StoreResult{};
     }
 
-    boost::asio::awaitable<StoreResult> create(std::string, std::vector<NewRow>)
+    boost::asio::awaitable<StoreResult> create(std::string, std::vector<NewRow> rows)
     {
-        co_return StoreResult{};
+        StoreResult result;
+        result.status = key.empty() ? StoreStatus::Ok : StoreStatus::Conflict;
+        if (key.empty()) {
+            key = rows.at(0).value;
+            created.push_back(key);
+        }
+        co_return result;
     }
 
-    boost::asio::awaitable<StoreResult> write(std::string, std::string key, std::string)
+    boost::asio::awaitable<StoreResult> write(std::string, std::string name, std::string)
     {
-        written.push_back(key);
+        written.push_back(name);
         StoreResult result;
         result.status = StoreStatus::Ok;
         co_return result;
@@ -94,6 +104,41 @@
     BOOST_TEST(log.find("\"operation\":\"read_key\",\"error\":\"store is down\"") != std::string::npos, log);
 }
 
+// Guards against an instance that makes a key of its own when the store has lost that of the fleet, and so does not understand the others.
+BOOST_AUTO_TEST_CASE(missingKeyIsWaitedFor)
+{
+    JoinFixture fixture;
+    fixture.store.key.clear();
+    fixture.join.start([&fixture](const JoinedFleet &fleet) {
+        fixture.joined.push_back(fleet);
+    });
+    fixture.context.run_for(1500ms);
+    BOOST_TEST(fixture.joined.empty());
+    fixture.store.key = "written again";
+    fixture.context.run_for(1s);
+    BOOST_REQUIRE_EQUAL(fixture.joined.size(), 1U);
+    BOOST_TEST(fixture.joined.front().peerKey == "written again");
+    BOOST_TEST(fixture.store.created.empty());
+}
+
+// Guards against a fleet that waits for good for a key that nobody knows any more, and against a first start that waits at all.
+BOOST_AUTO_TEST_CASE(keyThatNobodyWritesIsMade)
+{
+    for (const bool firstStart : {false, true}) {
+        JoinFixture fixture;
+        fixture.core.settings.firstStart = firstStart;
+        fixture.store.key.clear();
+        fixture.join.start([&fixture](const JoinedFleet &fleet) {
+            fixture.joined.push_back(fleet);
+        });
+        fixture.context.run_for(2500ms);
+        BOOST_TEST(fixture.store.created.size() == (firstStart ? 1U : 0U));
+        fixture.context.run_for(2s);
+        BOOST_REQUIRE_EQUAL(fixture.joined.size(), 1U);
+        BOOST_TEST((fixture.store.created == std::vector<std::string>{fixture.joined.front().peerKey}));
+    }
+}
+
 // Guards against an instance that never takes part because an exception ended the completion of its join.
 BOOST_AUTO_TEST_CASE(joinWhoseCompletionThrowsIsRepeated)
 {
