Show that a head that breaks off is no answer

Reported by another operator (MIXED, ORDER): an upstream stopped in the middle of the head of its response and closed, and callers got a 200 with an empty or short body, framed as whole.

It cannot happen here: a response counts only with its complete head, and a head that ends with the connection fails the attempt. The test cuts the head at every byte, with a body length, in chunks and without a length, on a new connection and on a kept one; callers get 502 each time.

--- a/src/proxy/faulty_answers_test.cpp
+++ b/src/proxy/faulty_answers_test.cpp
@@ -88,6 +88,38 @@
     BOOST_TEST(startsWith(entry.send(request("/holds/1", "r1", "POST"), "\r\n\r\n"), "HTTP/1.1 503"));
 }
 
+// Guards against a response whose head breaks off and that reaches the caller as a complete one with an empty or short body: every length of
+// a head with a body length, in chunks, or without a length, on a new connection and on a kept one.
+BOOST_AUTO_TEST_CASE(headThatBreaksOffIsNoAnswer)
+{
+    for (const std::string framing : {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        const auto headTo = [&framing](const std::string &received) {
+            std::string whole = signedResponse(idOf(received), "hello");
+            whole.replace(whole.find("Content-Length"), whole.size(), framing + "\r\n");
+            return whole;
+        };
+        const std::size_t length = headTo(request("/holds/1", "r1", "POST")).size();
+        for (std::size_t cut = 0; cut < length; ++cut) {
+            for (const bool kept : {false, true}) {
+                int received = 0;
+                EntryFixture entry([&](const std::string &head) {
+                    if (kept && ++received == 1) {
+                        return ScriptedReply{signedResponse(idOf(head), "hello")};
+                    }
+                    return ScriptedReply{headTo(head).substr(0, cut), true};
+                });
+                BOOST_TEST_CONTEXT("framing '" << framing << "', " << cut << " of " << length << " bytes, kept " << kept)
+                {
+                    if (kept) {
+                        BOOST_TEST(startsWith(entry.send(request("/holds/1", "r0", "POST"), "hello"), "HTTP/1.1 200"));
+                    }
+                    BOOST_TEST(startsWith(entry.send(request("/holds/1", "r1", "POST"), "\r\n\r\n"), "HTTP/1.1 502"));
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
