--- a/include/trefoilstile/feed/position.hpp
+++ b/include/trefoilstile/feed/position.hpp
@@ -22,7 +22,7 @@
     std::uint64_t era{}; ///< 0: the store or the instance that gave the position does not tell it; below all others
     std::uint64_t version{};
 
-    friend auto operator<=>(const Position &, const Position &) = default;
+    friend auto operator<=>(const Position &, const Position &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 inline std::ostream &operator<<(std::ostream &out, const Position &position)
--- a/include/trefoilstile/feed/table_copy.hpp
+++ b/include/trefoilstile/feed/table_copy.hpp
@@ -112,7 +112,7 @@
         std::uint64_t version{};
         std::uint64_t hash{}; ///< of key and value
 
-        friend auto operator<=>(const Superseded &, const Superseded &) = default;
+        friend auto operator<=>(const Superseded &, const Superseded &) = default; // NOLINT(modernize-use-nullptr)
     };
 
     /// What is known of the last version of an earlier era that the copy from which the store came back includes.
