Settle kept rows also at instances that start after a drill

An instance that starts in the new era gets rows that its reader keeps from the earlier one, such as an evacuation that the store has lost. Only instances that had passed from one era to the next settled such rows, so that this one would have kept an evacuation for good if the operator did not want it any more. Found by reading; keptRowsOfAReaderAreSettledInTime fails without the change and passes with it.

--- a/include/trefoilstile/proxy/table_watch.hpp
+++ b/include/trefoilstile/proxy/table_watch.hpp
@@ -235,11 +235,13 @@
         const feed::Position before = m_copy.position();
         const bool wasComplete = m_copy.complete();
         const std::vector<StoreRow> rows = m_copy.apply(std::move(result.rows), result.position, completeRead);
-        if (wasComplete && m_copy.position().era != before.era) {
+        const bool newEra = wasComplete && m_copy.position().era != before.era;
+        if (newEra && eraBegan) {
+            eraBegan(before, rows.size());
+        }
+        // An instance that starts may get kept rows from the reader that it follows.
+        if (newEra || (!wasComplete && m_copy.kept() > 0)) {
             m_settleAt = http::now() + m_options.settleTime;
-            if (eraBegan) {
-                eraBegan(before, rows.size());
-            }
         }
         const std::exception_ptr fault = reportEach(rows);
         if (completeRead) {
--- a/src/proxy/table_watch_test.cpp
+++ b/src/proxy/table_watch_test.cpp
@@ -266,6 +266,23 @@
     BOOST_TEST((recorder.events.back() == "-c"));
 }
 
+// Guards against the same at an instance that starts in the new era and gets a kept row from the reader that it follows.
+BOOST_AUTO_TEST_CASE(keptRowsOfAReaderAreSettledInTime)
+{
+    boost::asio::io_context context;
+    StoreResult read = rows(3, {{"c", "1", {1, 5}, false}, {"a", "1", {2, 1}, false}});
+    read.position.era = 2;
+    ScriptedStore store{context, {read}, {}, {}};
+    Recorder recorder;
+    const TableWatchOptions options = operatorWatchOptions();
+    TableWatch<ScriptedStore, Recorder> watch(context, store, recorder, "table", 1, options);
+    boost::asio::co_spawn(context, watch.run(), boost::asio::detached);
+    context.run();
+    BOOST_TEST((recorder.events == std::vector<std::string>{"regained", "+c", "+a", "read", "lost"}));
+    watch.advance(http::now() + options.settleTime);
+    BOOST_TEST((recorder.events.back() == "-c"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace trefoilstile::proxy
