Search the register only where the key was missing at the start

Instances that start beside many lost ones read key and register every few seconds for a minute. At 1,900 instances that would be more than the store's rate after a mass loss.

Only an instance that found no key when it started may have another key than the fleet; the others search as before, while they know no other instance.

--- a/include/trefoilstile/proxy/fleet_join.hpp
+++ b/include/trefoilstile/proxy/fleet_join.hpp
@@ -115,8 +115,8 @@
     /// 2 s of the return of the store, another one 0.7 s later.
     static constexpr base::Duration s_keyPatience = std::chrono::seconds(3);
     static constexpr base::Duration s_restorePause = std::chrono::milliseconds(700); ///< between two readers; above the time of the calls of one
-    /// Share of the registered instances. An instance that has joined recently and knows fewer may have another key than the fleet;
-    /// later, rows of instances that are gone are the usual reason.
+    /// Share of the registered instances. An instance that has found no key at its start and knows fewer may have another one than the fleet;
+    /// after a minute, rows of instances that are gone are the usual reason.
     static constexpr double s_fewShare = 0.6;
     static constexpr base::Duration s_recentTime = std::chrono::minutes(1);
     /// Pause between two searches of the register by an instance that knows few others, the shortest and the longest.
@@ -195,8 +195,8 @@
     bool knowsFew(const MemberLink &members, base::TimePoint now) const
     {
         const std::size_t known = members.memberCount(now);
-        // At the first start of the system all instances read the same key.
-        const bool mayDiffer = isRecent(now) && !m_core.settings.firstStart;
+        // Otherwise the key is that of the fleet, and few members mean that the others are lost. All would search after a mass loss.
+        const bool mayDiffer = isRecent(now) && m_keyMissingSince && !m_core.settings.firstStart;
         return known <= 1 || (mayDiffer && static_cast<double>(known) < s_fewShare * static_cast<double>(m_registeredCount));
     }
 
